--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -0,0 +1,73 @@
+/**
+ * Calls to endpoints: what is sent, and what is told of the answer.
+ */
+package sniperoute.connection.endpoint.message
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import sniperoute.connection.http.AnswerHead
+import sniperoute.connection.http.Header
+import kotlin.time.Duration
+
+/** Where an endpoint listens. */
+public data class EndpointAddress(public val host: String, public val port: Int)
+
+/**
+ * A call. The answer must name [requestId] in its `x-request-id` header. When nothing comes for [gap] the connection is taken
+ * for silent. A call on a [fresh] connection never uses one that served before.
+ */
+public class EndpointCall(
+    public val address: EndpointAddress,
+    public val requestId: String,
+    public val method: String,
+    public val target: String,
+    public val headers: ImmutableList<Header> = persistentListOf(),
+    public val body: ByteArray = ByteArray(0),
+    public val gap: Duration,
+    public val fresh: Boolean = false,
+)
+
+/** Why a call has no complete answer. */
+public enum class CallFailure {
+    /** No connection: not a byte of the call was written. */
+    NOT_SENT,
+
+    /** The connection broke after something may have been written. */
+    BROKEN,
+
+    /** Nothing came for the time allowed. */
+    SILENT,
+
+    /** What came isn't the answer to this call. */
+    CROSSED,
+
+    /** What came can't be read as an answer. */
+    MALFORMED,
+}
+
+/** What happens to a call; [Ended] or [Failed] comes last. */
+public sealed interface CallEvent
+
+/** The head of the answer came. */
+public data class AnswerBegan(public val head: AnswerHead) : CallEvent
+
+/** Part of the content came. */
+public class ContentCame(public val bytes: ByteArray) : CallEvent
+
+/** The answer is complete. */
+public data object Ended : CallEvent
+
+/** The call failed. */
+public data class Failed(public val failure: CallFailure, public val reason: String) : CallEvent
+
+/** Is told what happens to a call, on the thread of the call's connection. */
+public typealias OnCallEvent = (CallEvent) -> Unit
+
+/** A call under way. */
+public interface RunningCall {
+    /** Gives the call up; no event follows. */
+    public fun cancel()
+
+    /** Stops or goes on reading the answer, to hold it back for a slow reader. */
+    public fun read(wanted: Boolean)
+}
--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -0,0 +1,176 @@
+/**
+ * One connection of a caller: requests are handed on one at a time, answers are written in order, and what the library
+ * could not decode is refused with a clear error.
+ */
+package sniperoute.connection.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.handler.timeout.IdleStateEvent
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import sniperoute.connection.http.codec.errorAnswer
+
+internal class CallerConnection(private val limits: HttpLimits, private val handle: HandleExchange) :
+    SimpleChannelInboundHandler<FullHttpRequest>() {
+    private var waiting: PersistentList<NettyExchange> = persistentListOf()
+    private var current: NettyExchange? = null
+
+    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+        val failure = request.decoderResult().cause()
+        when {
+            failure != null -> context.refuse(statusOf(failure), "the request can't be read: ${failure.message}")
+            waiting.size >= limits.waitingRequests -> context.refuse(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests wait here")
+            else -> enqueue(NettyExchange(context, request.toHead(), request.toBytes(), HttpUtil.isKeepAlive(request), ::answered))
+        }
+    }
+
+    private fun enqueue(exchange: NettyExchange) {
+        waiting = waiting.add(exchange)
+        startNext()
+    }
+
+    private fun startNext() {
+        if (current != null) return
+        val next = waiting.firstOrNull() ?: return
+        waiting = waiting.removeAt(0)
+        current = next
+        handle(next)
+    }
+
+    private fun answered() {
+        current = null
+        startNext()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        current?.watch?.writable?.invoke(context.channel().isWritable)
+        context.fireChannelWritabilityChanged()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        waiting = waiting.clear()
+        current?.watch?.gone?.invoke()
+        current = null
+        context.fireChannelInactive()
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is IdleStateEvent && current == null) context.close() else context.fireUserEventTriggered(event)
+    }
+
+    @Deprecated("required by the library's type")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+}
+
+private fun statusOf(failure: Throwable): HttpResponseStatus = when (failure) {
+    is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
+    else -> HttpResponseStatus.BAD_REQUEST
+}
+
+private fun ChannelHandlerContext.refuse(status: HttpResponseStatus, reason: String) {
+    val error = errorAnswer(status.code(), "malformed_request", reason, "not-run")
+    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(error.content))
+    response.headers().addAll(error.head.headers)
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, error.content.size)
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+}
+
+private fun FullHttpRequest.toHead(): RequestHead = RequestHead(
+    method = method().name(),
+    path = uri().substringBefore('?'),
+    query = uri().substringAfter('?', ""),
+    headers = headers().toImmutable(),
+)
+
+private fun FullHttpRequest.toBytes(): ByteArray = ByteArray(content().readableBytes()).also { content().readBytes(it) }
+
+internal fun HttpHeaders.toImmutable(): ImmutableList<Header> =
+    map { Header(it.key.lowercase(), it.value) }.toImmutableList()
+
+internal fun HttpHeaders.addAll(headers: ImmutableList<Header>) {
+    headers.forEach { add(it.name, it.value) }
+}
+
+internal class NettyExchange(
+    private val context: ChannelHandlerContext,
+    override val head: RequestHead,
+    override val body: ByteArray,
+    private val keepAlive: Boolean,
+    private val answered: () -> Unit,
+) : Exchange {
+    var watch: ExchangeWatch? = null
+        private set
+    private var isOver = false
+
+    override fun answer(head: AnswerHead, content: ByteArray) = onConnectionThread {
+        if (!isOver) {
+            val status = HttpResponseStatus.valueOf(head.status)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
+            response.headers().addAll(head.headers)
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.size)
+            finish(response)
+        }
+    }
+
+    override fun begin(head: AnswerHead) = onConnectionThread {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
+        response.headers().addAll(head.headers)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (!isOver) context.write(response)
+    }
+
+    override fun send(content: ByteArray) = onConnectionThread {
+        if (!isOver) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(content)))
+    }
+
+    override fun end() = onConnectionThread {
+        if (!isOver) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    override fun abort() = onConnectionThread {
+        isOver = true
+        context.close()
+    }
+
+    override fun watch(watch: ExchangeWatch) = onConnectionThread {
+        this.watch = watch
+        if (!context.channel().isActive) watch.gone()
+    }
+
+    override fun onConnectionThread(action: () -> Unit) {
+        val executor = context.executor()
+        if (executor.inEventLoop()) action() else executor.execute(action)
+    }
+
+    private fun finish(last: Any) {
+        isOver = true
+        watch = null
+        if (last is DefaultFullHttpResponse && !keepAlive) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        val written = context.writeAndFlush(last)
+        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        answered()
+    }
+}
--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -0,0 +1,134 @@
+/**
+ * Links between own processes, over Ktor sockets: sealed frames in order, a heartbeat when there is nothing to say, and an
+ * end to links on which nothing comes any more.
+ */
+package sniperoute.connection.peer
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import sniperoute.connection.peer.message.Envelope
+import sniperoute.connection.peer.message.PeerName
+import sniperoute.process.codec.fromBytes
+import sniperoute.process.codec.toBytes
+import java.io.IOException
+import java.util.concurrent.atomic.LongAdder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** After this long without anything to send, an empty frame goes out. */
+private val HEARTBEAT = 500.milliseconds
+
+/** After this long without anything received, the link is taken for dead. */
+internal val SILENCE: Duration = 2_000.milliseconds
+
+private const val LARGEST_FRAME_BYTES = 256 * 1024 * 1024
+private const val OUTBOX_CAPACITY = 4_096
+
+/** An open link to [peer]. */
+public class PeerLink internal constructor(public val peer: PeerName) {
+    internal val outbox = Channel<Envelope>(OUTBOX_CAPACITY)
+    private val refusedEnvelopes = LongAdder()
+
+    /** The number of envelopes that [send] has refused. */
+    public val refused: Long get() = refusedEnvelopes.sum()
+
+    /** Returns whether [envelope] will be sent while the link lasts; a full or closed link refuses it. */
+    public fun send(envelope: Envelope): Boolean {
+        val taken = outbox.trySend(envelope).isSuccess
+        if (!taken) refusedEnvelopes.increment()
+        return taken
+    }
+
+    /** Ends the link. */
+    public fun close() {
+        outbox.close()
+    }
+}
+
+/** What a process does with its links. */
+public class PeerHandlers(
+    public val opened: (PeerLink) -> Unit,
+    public val received: (PeerLink, Envelope) -> Unit,
+    public val closed: (PeerLink, reason: String) -> Unit,
+    public val refused: (LinkRefused) -> Unit,
+)
+
+/** Runs a link until it ends, and returns why it did. */
+internal suspend fun Socket.runLink(handshake: suspend LinkChannels.() -> arrow.core.Either<LinkRefused, Handshaken>, handlers: PeerHandlers) {
+    val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false))
+    val outcome = withTimeoutOrNull(SILENCE) { channels.handshake() }
+    outcome?.fold(
+        ifLeft = handlers.refused,
+        ifRight = { handshaken -> channels.exchange(handshaken, handlers, this) },
+    ) ?: handlers.refused(LinkRefused("the handshake took too long"))
+}
+
+private suspend fun LinkChannels.exchange(handshaken: Handshaken, handlers: PeerHandlers, socket: Socket) {
+    val link = PeerLink(handshaken.peer)
+    handlers.opened(link)
+    val reason = try {
+        coroutineScope {
+            launch { writeFrames(link, handshaken) }.invokeOnCompletion { socket.close() }
+            readFrames(link, handshaken, handlers)
+        }
+    } catch (failure: IOException) {
+        failure.message ?: failure.javaClass.simpleName
+    } finally {
+        link.close()
+    }
+    handlers.closed(link, reason)
+}
+
+private suspend fun LinkChannels.writeFrames(link: PeerLink, handshaken: Handshaken) {
+    val outgoing = handshaken.seals.outgoing
+    while (true) {
+        val next = withTimeoutOrNull(HEARTBEAT) { link.outbox.receiveCatching() }
+        if (next != null && next.isClosed) return
+        var content = next?.getOrNull()?.let { Envelope.serializer().toBytes(it) } ?: ByteArray(0)
+        while (true) {
+            val sealed = outgoing.seal(content)
+            output.writeInt(sealed.size)
+            output.writeByteArray(sealed)
+            content = link.outbox.tryReceive().getOrNull()?.let { Envelope.serializer().toBytes(it) } ?: break
+        }
+        output.flush()
+    }
+}
+
+private suspend fun LinkChannels.readFrames(link: PeerLink, handshaken: Handshaken, handlers: PeerHandlers): String {
+    val incoming = handshaken.seals.incoming
+    while (true) {
+        val sealed = withTimeoutOrNull(SILENCE) { readFrame() } ?: return endSilently(link)
+        val content = incoming.openOrNull(sealed) ?: return refuse(link, handlers, "a frame was altered, replayed or lost")
+        if (content.isEmpty()) continue
+        val envelope = Envelope.serializer().fromBytes(content).getOrNull() ?: return refuse(link, handlers, "a frame holds no envelope")
+        handlers.received(link, envelope)
+    }
+}
+
+private fun endSilently(link: PeerLink): String {
+    link.close()
+    return "nothing came for $SILENCE"
+}
+
+private fun refuse(link: PeerLink, handlers: PeerHandlers, reason: String): String {
+    link.close()
+    handlers.refused(LinkRefused("${link.peer.vm}: $reason"))
+    return reason
+}
+
+private suspend fun LinkChannels.readFrame(): ByteArray {
+    val size = input.readInt()
+    if (size !in 1..LARGEST_FRAME_BYTES) throw IOException("a frame of $size bytes")
+    return withTimeout(SILENCE) { input.readByteArray(size) }
+}
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/agreement/codec/DiskRecords.kt
@@ -0,0 +1,43 @@
+/**
+ * What a replica writes to disk: batches of the log, and snapshots. Each is one CBOR message.
+ */
+package sniperoute.process.agreement.codec
+
+import arrow.core.Either
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.Serializable
+import sniperoute.process.agreement.message.AgreementMessage
+import sniperoute.process.agreement.message.LogEntry
+import sniperoute.process.agreement.message.ReplicaIdentity
+import sniperoute.process.agreement.message.Snapshot
+import sniperoute.process.codec.ItemList
+import sniperoute.process.codec.Undecodable
+import sniperoute.process.codec.fromBytes
+import sniperoute.process.codec.toBytes
+
+/** One synced write: the term and vote that hold from it on, and entries that replace those from their index on. */
+@Serializable
+public data class LogBatch(
+    public val term: Long,
+    public val votedFor: ReplicaIdentity?,
+    public val entries: ItemList<LogEntry> = persistentListOf(),
+)
+
+/** Returns the bytes of this batch. */
+public fun LogBatch.encode(): ByteArray = LogBatch.serializer().toBytes(this)
+
+/** Returns the batch in [bytes]. */
+public fun decodeLogBatch(bytes: ByteArray): Either<Undecodable, LogBatch> = LogBatch.serializer().fromBytes(bytes)
+
+/** Returns the bytes of this snapshot. */
+public fun Snapshot.encode(): ByteArray = Snapshot.serializer().toBytes(this)
+
+/** Returns the snapshot in [bytes]. */
+public fun decodeSnapshot(bytes: ByteArray): Either<Undecodable, Snapshot> = Snapshot.serializer().fromBytes(bytes)
+
+/** Returns the bytes of this message between replicas. */
+public fun AgreementMessage.encode(): ByteArray = AgreementMessage.serializer().toBytes(this)
+
+/** Returns the message between replicas in [bytes]. */
+public fun decodeAgreementMessage(bytes: ByteArray): Either<Undecodable, AgreementMessage> =
+    AgreementMessage.serializer().fromBytes(bytes)
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/AgreementStates.kt
@@ -0,0 +1,158 @@
+/**
+ * The state of one replica of the agreement, and what its step takes in and orders.
+ */
+package sniperoute.process.agreement.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import sniperoute.process.agreement.message.*
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Times and sizes of the agreement. [voterVms] are the VMs whose replicas should vote. */
+public data class AgreementSettings(
+    public val voterVms: PersistentSet<VmName>,
+    public val heartbeat: Duration = 100.milliseconds,
+    public val electionMinimum: Duration = 500.milliseconds,
+    public val electionMaximum: Duration = 900.milliseconds,
+    public val leaseMargin: Duration = 50.milliseconds,
+    public val entriesPerMessage: Int = 256,
+    public val snapshotResend: Duration = 1_000.milliseconds,
+)
+
+/** What a replica is to the others at the moment. */
+public sealed interface Role
+
+/** Follows [leader], or nobody known. */
+public data class Follower(public val leader: ReplicaIdentity?) : Role
+
+/** Asks whether it would be elected; [granted] said yes. */
+public data class PreCandidate(public val granted: PersistentSet<ReplicaIdentity>) : Role
+
+/** Stands for election; [granted] voted for it. */
+public data class Candidate(public val granted: PersistentSet<ReplicaIdentity>) : Role
+
+/** Leads. [firstIndex] is the entry that it started with; while [handoverUntil] lies ahead it takes no proposals. */
+public data class Leader(
+    public val progress: PersistentMap<ReplicaIdentity, Progress>,
+    public val firstIndex: Long,
+    public val nextHeartbeat: Moment,
+    public val handoverUntil: Moment? = null,
+) : Role
+
+/**
+ * What a leader knows of another replica: the [next] entry to send, the last [matched] one, and when the newest request that
+ * was [answered] had been sent.
+ */
+public data class Progress(
+    public val next: Long,
+    public val matched: Long,
+    public val answered: Moment,
+    public val snapshotSent: Moment = Moment.EARLIEST,
+)
+
+/** The state of one replica. [synced] is the last index known to be on its own disk. */
+public data class AgreementState(
+    public val self: ReplicaIdentity,
+    public val settings: AgreementSettings,
+    public val seed: Int,
+    public val term: Long,
+    public val votedFor: ReplicaIdentity?,
+    public val log: ReplicaLog,
+    public val synced: Long,
+    public val committed: Long,
+    public val role: Role,
+    public val leaderHeard: Moment,
+    public val electionDue: Moment,
+    public val nextJoin: Moment,
+) {
+    /** Whether this replica may vote and stand for election. */
+    public val isVoter: Boolean get() = self in log.membership.voters
+
+    /** The leader as far as this replica knows. */
+    public val leaderOrNull: ReplicaIdentity?
+        get() = when (role) {
+            is Leader -> self
+            is Follower -> role.leader
+            else -> null
+        }
+}
+
+/** What a step takes in. */
+public sealed interface AgreementInput
+
+/** Time has passed. */
+public data object Tick : AgreementInput
+
+/** A [message] came from [from]. */
+public data class Received(public val from: ReplicaIdentity, public val message: AgreementMessage) : AgreementInput
+
+/** Someone here wants [bytes] agreed on, under the number [proposal]. */
+public class Propose(public val proposal: Long, public val bytes: ByteArray) : AgreementInput
+
+/** The entry at [index] of [term], and all before it, are on this replica's disk. */
+public data class Synced(public val index: Long, public val term: Long) : AgreementInput
+
+/** The state machine's [state] after the entry [index]. */
+public class SnapshotTaken(public val index: Long, public val state: ByteArray) : AgreementInput
+
+/** This replica is about to stop and should not lead any more. */
+public data object HandOver : AgreementInput
+
+/** The disk does not take writes, so this replica must not lead. */
+public data object DiskFailed : AgreementInput
+
+/** What a step orders; orders are carried out in sequence. */
+public sealed interface Order
+
+/** Write term, vote and [entries] to disk; an entry replaces those from its index on. */
+public data class Persist(
+    public val term: Long,
+    public val votedFor: ReplicaIdentity?,
+    public val entries: PersistentList<LogEntry> = persistentListOf(),
+) : Order
+
+/** Write [log]'s snapshot and entries to disk in place of what is there. */
+public data class PersistSnapshot(public val term: Long, public val votedFor: ReplicaIdentity?, public val log: ReplicaLog) : Order
+
+/** Send at once. */
+public data class Send(public val to: ReplicaIdentity, public val message: AgreementMessage) : Order
+
+/** Send once everything ordered to disk so far is synced. */
+public data class SendAfterSync(public val to: ReplicaIdentity, public val message: AgreementMessage) : Order
+
+/** Ask every VM that is known whether its replica leads; used by a replica that is in no membership. */
+public data class Broadcast(public val message: AgreementMessage) : Order
+
+/** Apply [entries] to the state machine. */
+public data class Apply(public val entries: PersistentList<LogEntry>) : Order
+
+/** Replace the state machine by [snapshot]'s. */
+public data class Restore(public val snapshot: Snapshot) : Order
+
+/** Tell the proposer that [proposal] was not taken, and who leads. */
+public data class RefuseProposal(public val proposal: Long, public val leader: ReplicaIdentity?) : Order
+
+/** Note in the time line that this replica's role changed. */
+public data class RoleChanged(public val role: Role, public val term: Long) : Order
+
+/** Note in the time line that the membership changed. */
+public data class MembershipProposed(public val membership: Membership) : Order
+
+/** A state and what was ordered on the way to it. */
+public data class Transition(public val state: AgreementState, public val orders: PersistentList<Order> = persistentListOf())
+
+internal fun Transition.order(order: Order): Transition = copy(orders = orders.add(order))
+
+internal fun Transition.update(change: AgreementState.() -> AgreementState): Transition = copy(state = state.change())
+
+internal fun Transition.then(step: (AgreementState) -> Transition): Transition {
+    val next = step(state)
+    return Transition(next.state, orders.addAll(next.orders))
+}
+
+internal fun AgreementState.unchanged(): Transition = Transition(this)
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/settings/ObjectReaders.kt
@@ -0,0 +1,186 @@
+/**
+ * Reading of checked files: settings of a process and declarations of a service. Every mistake is found in one pass: a
+ * reader notes it, returns a value that lets the reading go on, and the whole file is refused at the end.
+ */
+package sniperoute.process.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableList
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The mistakes found so far in one file. */
+internal class MistakeCollector {
+    var found: PersistentList<Mistake> = persistentListOf()
+        private set
+
+    fun note(place: Place, found: String, expected: String) {
+        this.found = this.found.add(Mistake(place, found, expected))
+    }
+}
+
+/** Reads the members of one object; each member that no call asked for is a mistake. */
+public class ObjectReader internal constructor(private val source: PlacedObject, private val collector: MistakeCollector) {
+    private var asked: PersistentSet<String> = persistentSetOf()
+
+    /** The place of the object. */
+    public val place: Place get() = source.place
+
+    /** Returns the place of the member [name], or of the object when it is absent. */
+    public fun placeOf(name: String): Place = source.members[name]?.value?.place ?: source.place
+
+    /** Notes a mistake that a caller found at the member [name]. */
+    public fun note(name: String, found: String, expected: String): Unit = collector.note(placeOf(name), found, expected)
+
+    /** Returns whether the member [name] is there. */
+    public fun has(name: String): Boolean = name in source.members
+
+    /** Returns the names of all members, for objects whose names are data. */
+    public fun names(): ImmutableList<String> = source.members.keys.toImmutableList()
+
+    /** Returns the text [name]; [default] makes it optional. */
+    public fun text(name: String, default: String? = null, form: Regex? = null): String {
+        val expected = "a text" + (form?.let { " that matches $it" } ?: "")
+        val value = member(name, expected, default != null) ?: return default.orEmpty()
+        if (value is PlacedText && (form == null || form.matches(value.text))) return value.text
+        collector.note(value.place, "\"$name\" is ${value.describe()}", expected)
+        return default.orEmpty()
+    }
+
+    /** Returns the text [name], or `null` when it is absent. */
+    public fun textOrNull(name: String): String? = if (has(name)) text(name) else null
+
+    /** Returns the whole number [name] within [range]; [default] makes it optional. */
+    public fun whole(name: String, range: LongRange, default: Long? = null): Long {
+        val expected = "a whole number from ${range.first} to ${range.last}"
+        val fallback = default ?: range.first
+        val value = member(name, expected, default != null) ?: return fallback
+        val number = (value as? PlacedNumber)?.text?.toLongOrNull()
+        if (number != null && number in range) return number
+        collector.note(value.place, "\"$name\" is ${value.describe()}", expected)
+        return fallback
+    }
+
+    /** Returns the number of milliseconds [name] as a duration. */
+    public fun milliseconds(name: String, range: LongRange, default: Duration? = null): Duration =
+        whole(name, range, default?.inWholeMilliseconds).milliseconds
+
+    /** Returns the truth value [name]; [default] makes it optional. */
+    public fun truth(name: String, default: Boolean? = null): Boolean {
+        val value = member(name, "true or false", default != null) ?: return default ?: false
+        if (value is PlacedTruth) return value.truth
+        collector.note(value.place, "\"$name\" is ${value.describe()}", "true or false")
+        return default ?: false
+    }
+
+    /** Returns the constant among [choices] whose [nameOf] is written at [name]. */
+    public fun <T : Any> choice(name: String, choices: List<T>, default: T? = null, nameOf: (T) -> String): T {
+        val expected = "one of " + choices.joinToString { "\"${nameOf(it)}\"" }
+        val value = member(name, expected, default != null) ?: return default ?: choices.first()
+        val chosen = choices.firstOrNull { value is PlacedText && nameOf(it) == value.text }
+        if (chosen == null) collector.note(value.place, "\"$name\" is ${value.describe()}", expected)
+        return chosen ?: default ?: choices.first()
+    }
+
+    /** Returns what [read] makes of the object [name], or `null` when it is absent. */
+    public fun <T> objectOrNull(name: String, read: ObjectReader.() -> T): T? =
+        if (has(name)) member(name, "an object", true)?.readObject(name, read) else null
+
+    /** Returns what [read] makes of the object [name], or `null` after noting that it is absent or no object. */
+    public fun <T> objectAt(name: String, read: ObjectReader.() -> T): T? =
+        member(name, "an object", false)?.readObject(name, read)
+
+    /** Returns what [read] makes of each object in the list [name]. */
+    public fun <T> objects(name: String, optional: Boolean = false, read: ObjectReader.() -> T): ImmutableList<T> =
+        items(name, "a list of objects", optional).mapNotNull { it.readObject(name, read) }.toImmutableList()
+
+    /** Returns the texts in the list [name]. */
+    public fun texts(name: String, optional: Boolean = false): ImmutableList<String> =
+        items(name, "a list of texts", optional).mapNotNull { it.readText(name) }.toImmutableList()
+
+    internal fun finish() {
+        source.members
+            .filterKeys { it !in asked }
+            .forEach { (name, member) ->
+                collector.note(member.namePlace, "\"$name\" is not known here", knownNames())
+            }
+    }
+
+    private fun knownNames(): String = "one of " + asked.sorted().joinToString { "\"$it\"" }
+
+    private fun member(name: String, expected: String, optional: Boolean): PlacedValue? {
+        asked = asked.add(name)
+        val value = source.members[name]?.value
+        if (value == null && !optional) collector.note(source.place, "\"$name\" is missing", expected)
+        return value
+    }
+
+    private fun items(name: String, expected: String, optional: Boolean): List<PlacedValue> {
+        val value = member(name, expected, optional) ?: return emptyList()
+        if (value is PlacedList) return value.items
+        collector.note(value.place, "\"$name\" is ${value.describe()}", expected)
+        return emptyList()
+    }
+
+    private fun <T> PlacedValue.readObject(name: String, read: ObjectReader.() -> T): T? {
+        if (this is PlacedObject) return ObjectReader(this, collector).let { reader -> reader.read().also { reader.finish() } }
+        collector.note(place, "\"$name\" is ${describe()}", "an object")
+        return null
+    }
+
+    private fun PlacedValue.readText(name: String): String? {
+        if (this is PlacedText) return text
+        collector.note(place, "\"$name\" holds ${describe()}", "texts only")
+        return null
+    }
+}
+
+private fun PlacedValue.describe(): String = when (this) {
+    is PlacedText -> "the text \"$text\""
+    is PlacedNumber -> "the number $text"
+    is PlacedTruth -> "$truth"
+    is PlacedNothing -> "null"
+    is PlacedList -> "a list"
+    is PlacedObject -> "an object"
+}
+
+/** Returns what [read] makes of the object in [text], or every mistake in it; [file] only names it. */
+public fun <T> readChecked(file: String, text: String, read: ObjectReader.() -> T): Either<FileRefused, T> {
+    val collector = MistakeCollector()
+    val result = placedValueOf(file, text).fold(
+        ifLeft = { collector.note(it.place, it.found, it.expected) },
+        ifRight = { value ->
+            if (value is PlacedObject) {
+                val reader = ObjectReader(value, collector)
+                val result = reader.read()
+                reader.finish()
+                if (collector.found.isEmpty()) return result.right()
+            } else {
+                collector.note(value.place, value.describe(), "an object")
+            }
+        },
+    )
+    check(result == Unit) { "reading ends with a value or with mistakes" }
+    return FileRefused(collector.found.sortedWith(compareBy({ it.place.line }, { it.place.column })).toImmutableList()).left()
+}
+
+/** Returns what [read] makes of the file at [path], or every mistake in it; an unreadable file is one mistake. */
+public fun <T> readCheckedFile(path: Path, read: ObjectReader.() -> T): Either<FileRefused, T> {
+    val text = try {
+        Files.readString(path)
+    } catch (failure: IOException) {
+        val mistake = Mistake(Place(path.toString(), 1, 1), "the file can't be read (${failure.message})", "a readable file")
+        return FileRefused(persistentListOf(mistake)).left()
+    }
+    return readChecked(path.toString(), text, read)
+}
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/timeline/Recorders.kt
@@ -0,0 +1,87 @@
+/**
+ * The duty that keeps the time line. Other duties hand it events through a ring; when that is full the event is dropped and
+ * counted, since a time line must never hold a request back. Every event is logged under its number as well.
+ */
+package sniperoute.process.timeline
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import sniperoute.process.clock.Clock
+import sniperoute.process.duty.startDuty
+import sniperoute.process.ring.Ring
+import sniperoute.process.ring.ring
+import sniperoute.process.timeline.decision.Timeline
+import sniperoute.process.timeline.decision.emptyTimeline
+import sniperoute.process.timeline.decision.merge
+import sniperoute.process.timeline.decision.next
+import sniperoute.process.timeline.decision.record
+import sniperoute.process.timeline.message.Event
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
+import sniperoute.process.timeline.message.HybridTime
+import sniperoute.process.timeline.message.Severity
+import java.util.concurrent.atomic.AtomicReference
+
+private val logger = KotlinLogging.logger("sniperoute")
+private const val RING_CAPACITY = 8_192
+
+/** Takes note of one event; never blocks. */
+public typealias Record = (kind: EventKind, subject: EventSubject, detail: String) -> Unit
+
+/** The time line of this process and its hybrid clock. */
+public class Recorder internal constructor(private val process: String, private val clock: Clock, capacity: Int) {
+    private val time = AtomicReference(HybridTime.ZERO)
+    private val published = AtomicReference(emptyTimeline(capacity))
+    private val inbox: Ring<Event> = ring("timeline", RING_CAPACITY)
+
+    init {
+        startDuty("timeline", { name, failure -> logger.error(failure) { "102 duty $name failed" } }) {
+            while (true) keep(inbox.take())
+        }
+    }
+
+    /** The time line as it stands. */
+    public val timeline: Timeline get() = published.get()
+
+    /** The number of events dropped because the ring was full. */
+    public val dropped: Long get() = inbox.refused
+
+    /** Records an event of [kind] about [subject]; [detail] is one line for people. */
+    public fun record(kind: EventKind, subject: EventSubject = EventSubject(), detail: String = "") {
+        inbox.offer(Event(stamp(), process, kind, subject, detail))
+    }
+
+    /** Returns the stamp for a message that is sent now. */
+    public fun stamp(): HybridTime = time.updateAndGet { it.next(clock()) }
+
+    /** Moves the hybrid clock past the stamp of a message that was [received]. */
+    public fun witness(received: HybridTime) {
+        time.updateAndGet { it.merge(clock(), received) }
+    }
+
+    private fun keep(event: Event) {
+        published.updateAndGet { it.record(event) }
+        log(event)
+    }
+}
+
+/** Returns the recorder of the process named [process], keeping the last [capacity] events. */
+public fun startRecorder(process: String, clock: Clock, capacity: Int): Recorder = Recorder(process, clock, capacity)
+
+private fun log(event: Event) {
+    val line = { "${event.kind.number} ${event.kind.name} ${event.subject.describe()}${event.detail}" }
+    when (event.kind.severity) {
+        Severity.DEBUG -> logger.debug(line)
+        Severity.INFORMATION -> logger.info(line)
+        Severity.WARNING -> logger.warn(line)
+        Severity.ERROR -> logger.error(line)
+    }
+}
+
+private fun EventSubject.describe(): String = buildString {
+    request?.let { append("request=$it ") }
+    workspace?.let { append("workspace=$it ") }
+    endpoint?.let { append("endpoint=$it ") }
+    weights?.let { append("weights=$it ") }
+    configuration?.let { append("configuration=$it ") }
+    outcome?.let { append("outcome=$it ") }
+}
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -0,0 +1,99 @@
+/**
+ * Events of the time line: what happened, when by hybrid logical time, and to which request, workspace, endpoint or
+ * configuration number.
+ */
+package sniperoute.process.timeline.message
+
+import kotlinx.serialization.Serializable
+
+/** Hybrid logical time: wall [microseconds] since the epoch, and a [counter] that orders events within one of them. */
+@Serializable
+public data class HybridTime(public val microseconds: Long, public val counter: Int) : Comparable<HybridTime> {
+    override fun compareTo(other: HybridTime): Int = compareValuesBy(this, other, HybridTime::microseconds, HybridTime::counter)
+
+    public companion object {
+        /** The time before every other one. */
+        public val ZERO: HybridTime = HybridTime(0, 0)
+    }
+}
+
+/** How much an event matters to the person on call. */
+public enum class Severity { DEBUG, INFORMATION, WARNING, ERROR }
+
+/** Every event that a process logs, by its [number]; docs/EVENTS.md explains each. */
+@Suppress("MagicNumber")
+public enum class EventKind(public val number: Int, public val severity: Severity) {
+    PROCESS_STARTED(100, Severity.INFORMATION),
+    PROCESS_STOPPING(101, Severity.INFORMATION),
+    DUTY_FAILED(102, Severity.ERROR),
+    SETTINGS_REFUSED(103, Severity.ERROR),
+    PROCESS_READY(104, Severity.INFORMATION),
+    LOG_OPENED(200, Severity.INFORMATION),
+    LOG_TAIL_CUT(201, Severity.WARNING),
+    LOG_REFUSED(202, Severity.ERROR),
+    DISK_FULL(203, Severity.ERROR),
+    SNAPSHOT_WRITTEN(204, Severity.INFORMATION),
+    LEADER_ELECTED(300, Severity.INFORMATION),
+    LEADER_STEPPED_DOWN(301, Severity.WARNING),
+    FOLLOWING_LEADER(302, Severity.INFORMATION),
+    MEMBERSHIP_CHANGED(303, Severity.INFORMATION),
+    REPLICA_JOINED_EMPTY(304, Severity.WARNING),
+    REDUNDANCY_RESTORED(305, Severity.INFORMATION),
+    PEER_CONNECTED(400, Severity.INFORMATION),
+    PEER_LOST(401, Severity.WARNING),
+    PEER_REFUSED(402, Severity.WARNING),
+    CONFIGURATION_ACCEPTED(500, Severity.INFORMATION),
+    CONFIGURATION_REFUSED(501, Severity.WARNING),
+    CONFIGURATION_IN_FORCE(502, Severity.INFORMATION),
+    CONFIGURATION_IN_FORCE_EVERYWHERE(503, Severity.INFORMATION),
+    KEY_GRANTED(510, Severity.INFORMATION),
+    KEY_WITHDRAWN(511, Severity.INFORMATION),
+    LEASE_RENEWED(520, Severity.DEBUG),
+    LEASE_LOST(521, Severity.WARNING),
+    REQUEST_ADMITTED(600, Severity.DEBUG),
+    REQUEST_REFUSED(601, Severity.INFORMATION),
+    REQUEST_PLACED(602, Severity.DEBUG),
+    REQUEST_ANSWERED(603, Severity.DEBUG),
+    REQUEST_BROKEN(604, Severity.WARNING),
+    REQUEST_RETRIED(605, Severity.INFORMATION),
+    REQUEST_RESUMED(606, Severity.INFORMATION),
+    REQUEST_CANCELLED(607, Severity.DEBUG),
+    ONCE_ONLY_BEGUN(610, Severity.INFORMATION),
+    ONCE_ONLY_FINISHED(611, Severity.INFORMATION),
+    ONCE_ONLY_RELEASED(612, Severity.INFORMATION),
+    ONCE_ONLY_UNKNOWN(613, Severity.WARNING),
+    DIGEST_QUARANTINED(620, Severity.WARNING),
+    ENDPOINT_UP(700, Severity.INFORMATION),
+    ENDPOINT_DOWN(701, Severity.WARNING),
+    ENDPOINT_LEAVING(702, Severity.INFORMATION),
+    ENDPOINT_SILENT(703, Severity.WARNING),
+    ENDPOINT_CROSSED_ANSWER(704, Severity.WARNING),
+    CACHE_EVENTS_GAP(705, Severity.INFORMATION),
+    MOVE_STARTED(800, Severity.INFORMATION),
+    MOVE_WIDENED(801, Severity.INFORMATION),
+    MOVE_DONE(802, Severity.INFORMATION),
+    MOVE_TAKEN_BACK(803, Severity.WARNING),
+    LOAD_ORDERED(804, Severity.INFORMATION),
+    LOAD_ORDER_REFUSED(805, Severity.WARNING),
+}
+
+/** What an event is about; what does not apply stays `null`. */
+@Serializable
+public data class EventSubject(
+    public val request: String? = null,
+    public val workspace: String? = null,
+    public val endpoint: String? = null,
+    public val weights: String? = null,
+    public val configuration: Long? = null,
+    public val outcome: String? = null,
+)
+
+/** One event of one process. */
+@Serializable
+public data class Event(
+    public val at: HybridTime,
+    public val process: String,
+    public val kind: EventKind,
+    public val subject: EventSubject,
+    public val detail: String,
+)
--- /dev/null
+++ b/programs/src/main/kotlin/w.kt
@@ -0,0 +1,2 @@
+package warm
+internal val xprograms = 1
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/codec/DeclarationFiles.kt
@@ -0,0 +1,131 @@
+/**
+ * Declaration files: short JSON files with comments, kept beside each service's code. Each file may declare workspaces, keys,
+ * services and routes; all files of a submission are checked together.
+ */
+package sniperoute.version.codec
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+import sniperoute.process.identity.FailureDomain
+import sniperoute.process.settings.FileRefused
+import sniperoute.process.settings.Mistake
+import sniperoute.process.settings.ObjectReader
+import sniperoute.process.settings.Place
+import sniperoute.process.settings.readChecked
+import sniperoute.version.decision.problems
+import sniperoute.version.message.*
+
+private val NAME_FORM = Regex("[a-z0-9][a-z0-9.-]{0,62}")
+private val DIGEST_FORM = Regex("[0-9a-f]{64}")
+private val PATH_FORM = Regex("/[A-Za-z0-9._~/-]*")
+private val TOKEN_RANGE = 1L..1_000_000_000L
+private val PORT_RANGE = 1L..65_535L
+private val SLOT_RANGE = 1L..10_000L
+private val DEADLINE_RANGE = 10L..3_600_000L
+private val MOVE_DEADLINE_RANGE = 1_000L..86_400_000L
+private const val DEFAULT_DEADLINE = 60_000L
+private const val DEFAULT_GAP = 2_000L
+
+/** A file's name and its text. */
+public data class DeclarationFile(public val name: String, public val text: String)
+
+/** Returns what [files] declare together, or every mistake in any of them. */
+public fun readDeclarations(files: List<DeclarationFile>): Either<FileRefused, Declarations> {
+    val read = files.map { file -> readChecked(file.name, file.text) { placedDeclarations() } }
+    val mistakes = read.flatMap { result -> result.fold({ it.mistakes }, { emptyList() }) }
+    if (mistakes.isNotEmpty()) return FileRefused(mistakes.toImmutableList()).left()
+    val parts = read.mapNotNull { it.getOrNull() }
+    val all = parts.map { it.declarations }.merge()
+    val places = parts.fold(emptyMap<String, Place>()) { known, part -> known + part.places }
+    val problems = all.problems().map { problem ->
+        val place = places[problem.subject] ?: Place(files.firstOrNull()?.name ?: "declarations", 1, 1)
+        Mistake(place, "${problem.subject}: ${problem.problem}", problem.expected)
+    }
+    return if (problems.isEmpty()) all.right() else FileRefused(problems.toImmutableList()).left()
+}
+
+private data class PlacedDeclarations(val declarations: Declarations, val places: Map<String, Place>)
+
+private fun List<Declarations>.merge(): Declarations = Declarations(
+    workspaces = flatMap { it.workspaces }.sortedBy { it.name }.toImmutableList(),
+    keys = flatMap { it.keys }.sortedBy { it.digest.text }.toImmutableList(),
+    services = flatMap { it.services }.sortedBy { it.name }.toImmutableList(),
+    routes = flatMap { it.routes }.sortedBy { it.name }.toImmutableList(),
+)
+
+private data class Placed<T>(val value: T, val place: Place)
+
+private fun <T> ObjectReader.placed(read: ObjectReader.() -> T): Placed<T> = Placed(read(), place)
+
+private fun ObjectReader.placedDeclarations(): PlacedDeclarations {
+    val workspaces = objects("workspaces", optional = true) { placed { workspace() } }
+    val keys = objects("keys", optional = true) { placed { key() } }
+    val services = objects("services", optional = true) { placed { service() } }
+    val routes = objects("routes", optional = true) { placed { route() } }
+    val declarations = Declarations(workspaces.values(), keys.values(), services.values(), routes.values())
+    val places = workspaces.places { "workspace \"${it.name}\"" } +
+        keys.places { "key \"${it.digest}\"" } +
+        services.places { "service \"${it.name}\"" } +
+        routes.places { "route \"${it.name}\"" } +
+        routes.places { "path \"${it.path}\"" }
+    return PlacedDeclarations(declarations, places)
+}
+
+private fun <T> List<Placed<T>>.values(): ImmutableList<T> = map { it.value }.toImmutableList()
+
+private fun <T> List<Placed<T>>.places(subject: (T) -> String): Map<String, Place> = associate { subject(it.value) to it.place }
+
+private fun ObjectReader.workspace(): Workspace = Workspace(
+    name = WorkspaceName(text("name", form = NAME_FORM)),
+    tokensPerSecond = whole("tokensPerSecond", TOKEN_RANGE),
+    burstTokens = whole("burstTokens", TOKEN_RANGE),
+)
+
+private fun ObjectReader.key(): DeclaredKey = DeclaredKey(
+    digest = KeyDigest(text("sha256", form = DIGEST_FORM)),
+    workspace = WorkspaceName(text("workspace", form = NAME_FORM)),
+)
+
+private fun ObjectReader.service(): Service {
+    val kind = choice("kind", ServiceKind.entries) { it.text }
+    return Service(
+        name = ServiceName(text("name", form = NAME_FORM)),
+        kind = kind,
+        endpoints = objects("endpoints") { endpoint() },
+        weights = textOrNull("weights")?.let(::WeightsVersion),
+        move = objectOrNull("move") {
+            DeclaredMove(
+                to = WeightsVersion(text("to", form = NAME_FORM)),
+                deadlineMilliseconds = whole("deadlineMilliseconds", MOVE_DEADLINE_RANGE),
+            )
+        },
+    )
+}
+
+private fun ObjectReader.endpoint(): Endpoint = Endpoint(
+    name = EndpointName(text("name", form = NAME_FORM)),
+    host = text("host"),
+    port = whole("port", PORT_RANGE).toInt(),
+    failureDomain = FailureDomain(text("failureDomain", form = NAME_FORM)),
+    slots = whole("slots", SLOT_RANGE).toInt(),
+    checksOrders = truth("checksOrders", default = false),
+)
+
+private fun ObjectReader.route(): Route = Route(
+    name = RouteName(text("name", form = NAME_FORM)),
+    path = text("path", form = PATH_FORM),
+    service = ServiceName(text("service", form = NAME_FORM)),
+    requestClass = choice("class", RequestClass.entries) { it.text },
+    deadlineMilliseconds = whole("deadlineMilliseconds", DEADLINE_RANGE, DEFAULT_DEADLINE),
+    gapMilliseconds = whole("gapMilliseconds", DEADLINE_RANGE, DEFAULT_GAP),
+    repetition = choice("calls", Repetition.entries) { it.text },
+    isOpen = truth("open", default = false),
+)
+
+/** Returns declarations of nothing. */
+public fun emptyDeclarations(): Declarations =
+    Declarations(persistentListOf(), persistentListOf(), persistentListOf(), persistentListOf())
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/codec/Digests.kt
@@ -0,0 +1,19 @@
+/**
+ * Digests of keys and of declarations, by the platform's own cryptography.
+ */
+package sniperoute.version.codec
+
+import sniperoute.process.codec.toBytes
+import sniperoute.version.message.Declarations
+import sniperoute.version.message.KeyDigest
+import java.security.MessageDigest
+
+/** Returns the SHA-256 of [bytes] in hexadecimal. */
+public fun sha256Hexadecimal(bytes: ByteArray): String =
+    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
+
+/** Returns the digest under which the key [text] is known. */
+public fun keyDigestOf(text: String): KeyDigest = KeyDigest(sha256Hexadecimal(text.toByteArray()))
+
+/** Returns the digest that identifies these declarations, the same for the same content. */
+public fun Declarations.digest(): String = sha256Hexadecimal(Declarations.serializer().toBytes(this))
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/codec/SessionCodecs.kt
@@ -0,0 +1,16 @@
+/**
+ * The binary form of session messages.
+ */
+package sniperoute.version.codec
+
+import arrow.core.Either
+import sniperoute.process.codec.Undecodable
+import sniperoute.process.codec.fromBytes
+import sniperoute.process.codec.toBytes
+import sniperoute.version.message.SessionMessage
+
+/** Returns the bytes of this message. */
+public fun SessionMessage.encode(): ByteArray = SessionMessage.serializer().toBytes(this)
+
+/** Returns the message in [bytes]. */
+public fun decodeSessionMessage(bytes: ByteArray): Either<Undecodable, SessionMessage> = SessionMessage.serializer().fromBytes(bytes)
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -0,0 +1,93 @@
+/**
+ * The catalogue: what is in force, laid out for look-up. It lives for one revision and is replaced by the next.
+ */
+package sniperoute.version.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.version.message.*
+
+/** What is in force at [revision]; [configuration] is the number of the last accepted declarations. */
+public data class Catalogue(
+    public val revision: Long,
+    public val configuration: Long,
+    public val workspaces: PersistentMap<WorkspaceName, Workspace>,
+    public val keys: PersistentMap<KeyDigest, DeclaredKey>,
+    public val services: PersistentMap<ServiceName, Service>,
+    public val routes: PersistentList<Route>,
+    public val moves: PersistentMap<ServiceName, Move>,
+    public val quarantine: PersistentSet<RequestDigest>,
+)
+
+/** Returns the catalogue in which nothing is in force. */
+public fun emptyCatalogue(): Catalogue = Catalogue(
+    revision = 0,
+    configuration = 0,
+    workspaces = persistentMapOf(),
+    keys = persistentMapOf(),
+    services = persistentMapOf(),
+    routes = persistentListOf(),
+    moves = persistentMapOf(),
+    quarantine = persistentSetOf(),
+)
+
+/** Returns this catalogue after what [reply] says, or this one when the reply is older. */
+public fun Catalogue.advance(reply: RenewReply): Catalogue {
+    if (reply.revision < revision) return this
+    val start = if (reply.isWhole) emptyCatalogue() else this
+    return reply.changes.fold(start, Catalogue::apply).copy(revision = reply.revision, configuration = reply.configuration)
+}
+
+private fun Catalogue.apply(change: ItemChange): Catalogue = when (val item = change.item) {
+    null -> remove(change.name)
+    is WorkspaceItem -> copy(workspaces = workspaces.put(item.workspace.name, item.workspace))
+    is KeyItem -> copy(keys = keys.put(item.key.digest, item.key))
+    is ServiceItem -> copy(services = services.put(item.service.name, item.service))
+    is RouteItem -> copy(routes = routes.without(item.route.name).add(item.route).longestPathFirst())
+    is MoveItem -> copy(moves = moves.put(item.move.service, item.move))
+    is QuarantineItem -> copy(quarantine = quarantine.add(item.digest))
+}
+
+private fun Catalogue.remove(name: ItemName): Catalogue = when (name.kind) {
+    ItemKind.WORKSPACE -> copy(workspaces = workspaces.remove(WorkspaceName(name.text)))
+    ItemKind.KEY -> copy(keys = keys.remove(KeyDigest(name.text)))
+    ItemKind.SERVICE -> copy(services = services.remove(ServiceName(name.text)))
+    ItemKind.ROUTE -> copy(routes = routes.without(RouteName(name.text)))
+    ItemKind.MOVE -> copy(moves = moves.remove(ServiceName(name.text)))
+    ItemKind.QUARANTINE -> copy(quarantine = quarantine.remove(RequestDigest(name.text)))
+}
+
+private fun PersistentList<Route>.without(name: RouteName): PersistentList<Route> = removeAll { it.name == name }
+
+private fun PersistentList<Route>.longestPathFirst(): PersistentList<Route> =
+    sortedWith(compareByDescending<Route> { it.path.length }.thenBy { it.name }).toPersistentList()
+
+/** Returns the route for [path], the one with the longest matching prefix, or `null`. */
+public fun Catalogue.routeOrNull(path: String): Route? = routes.firstOrNull { it.matches(path) }
+
+private fun Route.matches(target: String): Boolean =
+    target == path || (target.startsWith(path) && (path.endsWith("/") || target[path.length] == '/'))
+
+/** Returns the weights that [endpoint] should serve now, or `null` for a plain service. */
+public fun Catalogue.assignedWeightsOrNull(service: Service, endpoint: EndpointName): WeightsVersion? =
+    moves[service.name]?.assigned?.get(endpoint) ?: currentWeightsOrNull(service)
+
+/** Returns the weights that [service] serves outside a move, or `null` for a plain service. */
+public fun Catalogue.currentWeightsOrNull(service: Service): WeightsVersion? {
+    val move = moves[service.name] ?: return service.weights
+    return if (move.stage == MoveStage.DONE) move.to else move.from
+}
+
+private const val THOUSANDTHS = 1_000
+
+/** Returns the weights that a request whose hash is [hash] should be served by. */
+public fun Catalogue.chosenWeightsOrNull(service: Service, hash: Long): WeightsVersion? {
+    val move = moves[service.name] ?: return service.weights
+    val position = java.lang.Long.remainderUnsigned(hash, THOUSANDTHS.toLong()).toInt()
+    return if (position < move.share) move.to else move.from
+}
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/message/Published.kt
@@ -0,0 +1,84 @@
+/**
+ * What is in force, as routers receive it: named items, each with the revision that changed it last, so that a router that
+ * has revision N needs only what changed since.
+ */
+package sniperoute.version.message
+
+import kotlinx.serialization.Serializable
+import sniperoute.process.codec.ItemList
+import sniperoute.process.codec.ItemMap
+
+/** What an item is. */
+public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE }
+
+/** The name of an item, unique within its kind. */
+@Serializable
+public data class ItemName(public val kind: ItemKind, public val text: String)
+
+/** One thing that is in force. */
+@Serializable
+public sealed interface Item {
+    public val name: ItemName
+}
+
+/** A workspace with its limits. */
+@Serializable
+public data class WorkspaceItem(public val workspace: Workspace) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.WORKSPACE, workspace.name.text)
+}
+
+/** A key that works. */
+@Serializable
+public data class KeyItem(public val key: DeclaredKey) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.KEY, key.digest.text)
+}
+
+/** A service with its endpoints. */
+@Serializable
+public data class ServiceItem(public val service: Service) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.SERVICE, service.name.text)
+}
+
+/** A route. */
+@Serializable
+public data class RouteItem(public val route: Route) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.ROUTE, route.name.text)
+}
+
+/** Which weights a service's endpoints should serve and which share of requests goes to the new ones. */
+@Serializable
+public data class MoveItem(public val move: Move) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.MOVE, move.service.text)
+}
+
+/** A request that killed endpoints and must not run again. */
+@Serializable
+public data class QuarantineItem(public val digest: RequestDigest) : Item {
+    override val name: ItemName get() = ItemName(ItemKind.QUARANTINE, digest.text)
+}
+
+/** An item as of [revision]; no [item] means that it is gone. */
+@Serializable
+public data class ItemChange(public val revision: Long, public val name: ItemName, public val item: Item?)
+
+/** Where a move stands. */
+public enum class MoveStage { LOADING, FIRST_SHARE, WIDENING, DONE, TAKING_BACK, TAKEN_BACK }
+
+/**
+ * A move of [service] from one version of its weights to another. [share] of requests, in thousandths, goes to the new
+ * version; [assigned] says which weights each endpoint should serve; [fence] grows with each change of them.
+ */
+@Serializable
+public data class Move(
+    public val service: ServiceName,
+    public val from: WeightsVersion,
+    public val to: WeightsVersion,
+    public val startedMicroseconds: Long,
+    public val deadlineMicroseconds: Long,
+    public val stage: MoveStage,
+    public val share: Int,
+    public val assigned: ItemMap<EndpointName, WeightsVersion>,
+    public val fence: Long,
+    public val declaredIn: Long,
+    public val reason: String,
+)
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -0,0 +1,69 @@
+/**
+ * Messages of a router's session with the control replicas.
+ */
+package sniperoute.version.message
+
+import kotlinx.serialization.Serializable
+import sniperoute.process.codec.ItemList
+import sniperoute.process.identity.VmName
+
+/** A message of the session, in either direction. */
+@Serializable
+public sealed interface SessionMessage
+
+/** Asks for a lease; the router serves by [revision] now. [evidence] counts from the router's start. */
+@Serializable
+public data class RenewRequest(public val revision: Long, public val evidence: ItemList<RouteEvidence>) : SessionMessage
+
+/**
+ * Grants a lease of [leaseMilliseconds], counted from when the request was sent. [changes] lead to [revision]; when
+ * [isWhole] they replace everything the router has.
+ */
+@Serializable
+public data class RenewReply(
+    public val term: Long,
+    public val leaseMilliseconds: Long,
+    public val revision: Long,
+    public val configuration: Long,
+    public val isWhole: Boolean,
+    public val changes: ItemList<ItemChange>,
+) : SessionMessage
+
+/** Tells a router that something changed, so that it renews at once. */
+@Serializable
+public data class ChangeNotice(public val revision: Long) : SessionMessage
+
+/** The replica that was asked does not lead; [leader] may. */
+@Serializable
+public data class NotLeader(public val leader: VmName?) : SessionMessage
+
+/** Asks for [tokens] of the workspace's rate. */
+@Serializable
+public data class TokenRequest(public val workspace: WorkspaceName, public val tokens: Long) : SessionMessage
+
+/** Hands [tokens] to the router; when they are fewer than asked, more are there after [retryMilliseconds]. */
+@Serializable
+public data class TokenGrant(
+    public val workspace: WorkspaceName,
+    public val tokens: Long,
+    public val term: Long,
+    public val retryMilliseconds: Long,
+) : SessionMessage
+
+/** Gives back tokens that were granted in [term] and not used. */
+@Serializable
+public data class TokenReturn(public val workspace: WorkspaceName, public val tokens: Long, public val term: Long) : SessionMessage
+
+/**
+ * What a router saw of one version on one route since the router's start. [firstTokenBuckets] counts answers by the time to
+ * their first byte: bucket n holds times below 2^n milliseconds that no earlier bucket holds.
+ */
+@Serializable
+public data class RouteEvidence(
+    public val service: ServiceName,
+    public val route: RouteName,
+    public val weights: WeightsVersion,
+    public val answered: Long,
+    public val failed: Long,
+    public val firstTokenBuckets: ItemList<Long>,
+)
