--- /dev/null
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationPages.kt
@@ -0,0 +1,71 @@
+/**
+ * The pages that every server offers on its administration address: liveness, readiness, metrics and its time line.
+ */
+package sniperoute.common
+
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import sniperoute.connection.http.Exchange
+import sniperoute.connection.http.HttpStatus
+import sniperoute.connection.http.RequestHead
+import sniperoute.connection.http.codec.WholeAnswer
+import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.connection.http.codec.jsonAnswer
+import sniperoute.connection.http.codec.textAnswer
+import sniperoute.connection.http.valueOrNull
+import sniperoute.process.metrics.MetricsRegistry
+import sniperoute.process.metrics.toText
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.Event
+import sniperoute.version.codec.sha256Hexadecimal
+import java.security.MessageDigest
+
+/** The JSON form of all administration pages. */
+public val administrationJson: Json = Json {
+    encodeDefaults = true
+    explicitNulls = false
+    ignoreUnknownKeys = true
+}
+
+/** Why a process is not ready, or `null` when it is. */
+public typealias UnreadyReason = () -> String?
+
+/** Returns the answer to a page that every server has, or `null` when [exchange] asks for another one. */
+public fun commonPageOrNull(
+    exchange: Exchange,
+    metrics: MetricsRegistry,
+    recorder: Recorder,
+    unreadyReason: UnreadyReason,
+): WholeAnswer? = when (exchange.head.path) {
+    "/live" -> textAnswer(HttpStatus.OK, "live\n")
+    "/ready" -> unreadyReason()?.let { textAnswer(HttpStatus.UNAVAILABLE, "not ready: $it\n") } ?: textAnswer(HttpStatus.OK, "ready\n")
+    "/metrics" -> textAnswer(HttpStatus.OK, metrics.toText())
+    "/timeline" -> jsonAnswer(HttpStatus.OK, recorder.toJson())
+    else -> null
+}
+
+private fun Recorder.toJson(): String = administrationJson.encodeToString(ListSerializer(Event.serializer()), timeline.events)
+
+/** Sends [answer]. */
+public fun Exchange.reply(answer: WholeAnswer): Unit = answer(answer.head, answer.content)
+
+/** Returns the answer to a page that nobody offers. */
+public fun unknownPage(path: String): WholeAnswer =
+    errorAnswer(HttpStatus.NOT_FOUND, "unknown_page", "there is no page $path here", "not-run")
+
+/** An operator and the digest of the key that proves who it is. */
+public data class Operator(public val name: String, public val keyDigest: String)
+
+/** Pages that need no key: the balancer and the monitoring read them. */
+public val openPages: Set<String> = setOf("/live", "/ready", "/metrics")
+
+/** Returns the operator whose key came with [head], or `null`. */
+public fun List<Operator>.operatorOrNull(head: RequestHead): Operator? {
+    val key = head.headers.valueOrNull("authorization")?.removePrefix("Bearer ") ?: return null
+    val digest = sha256Hexadecimal(key.toByteArray()).toByteArray()
+    return firstOrNull { MessageDigest.isEqual(it.keyDigest.toByteArray(), digest) }
+}
+
+/** Returns the answer to a request without an operator's key. */
+public fun unauthorizedPage(): WholeAnswer =
+    errorAnswer(HttpStatus.UNAUTHORIZED, "unauthorized", "send an operator's key as a bearer token", "not-run")
--- /dev/null
+++ b/programs/common/src/main/kotlin/sniperoute/common/CommonSettings.kt
@@ -0,0 +1,68 @@
+/**
+ * Settings that several programs share.
+ */
+package sniperoute.common
+
+import sniperoute.connection.http.TlsFiles
+import sniperoute.connection.peer.PeerAddress
+import sniperoute.process.identity.FailureDomain
+import sniperoute.process.identity.VmName
+import sniperoute.process.settings.ObjectReader
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The form of names. */
+public val NAME_FORM: Regex = Regex("[a-z0-9][a-z0-9.-]{0,62}")
+
+/** The range of ports; 0 takes any free one. */
+public val PORT_RANGE: LongRange = 0L..65_535L
+
+/** Where a server listens. */
+public data class ListenAddress(public val host: String, public val port: Int)
+
+/** Who and where a process is. */
+public data class Location(public val vm: VmName, public val failureDomain: FailureDomain)
+
+/** Reads who and where the process is. */
+public fun ObjectReader.location(): Location = Location(
+    vm = VmName(text("vm", form = NAME_FORM)),
+    failureDomain = FailureDomain(text("failureDomain", form = NAME_FORM)),
+)
+
+/** Reads the address at [name]. */
+public fun ObjectReader.listenAddress(name: String): ListenAddress =
+    objectAt(name) { ListenAddress(text("host", default = "0.0.0.0"), whole("port", PORT_RANGE).toInt()) } ?: ListenAddress("", 0)
+
+/** Reads the optional TLS files at [name]. */
+public fun ObjectReader.tlsOrNull(name: String): TlsFiles? = objectOrNull(name) {
+    TlsFiles(existingFile("certificateChain"), existingFile("privateKey"))
+}
+
+/** Reads the path of a file that must be there. */
+public fun ObjectReader.existingFile(name: String): Path {
+    val path = Path.of(text(name))
+    if (!Files.isReadable(path)) note(name, "the file $path can't be read", "a readable file")
+    return path
+}
+
+/** Reads the control replicas. */
+public fun ObjectReader.controlPeers(): kotlinx.collections.immutable.ImmutableList<PeerAddress> =
+    objects("controlReplicas") {
+        PeerAddress(VmName(text("vm", form = NAME_FORM)), text("host"), whole("port", 1L..PORT_RANGE.last).toInt())
+    }
+
+private val DIGEST_FORM = Regex("[0-9a-f]{64}")
+
+/** Reads who may see and change things. */
+public fun ObjectReader.operators(): kotlinx.collections.immutable.ImmutableList<Operator> =
+    objects("operators") { Operator(text("name", form = NAME_FORM), text("sha256", form = DIGEST_FORM)) }
+
+private const val SHORTEST_SECRET = 32
+
+/** Reads the secret in the file that [name] names; trailing white space does not count. */
+public fun ObjectReader.secretFile(name: String): ByteArray {
+    val path = existingFile(name)
+    val secret = if (Files.isReadable(path)) Files.readString(path).trim() else return ByteArray(0)
+    if (secret.length < SHORTEST_SECRET) note(name, "the secret in $path is too short", "at least $SHORTEST_SECRET characters")
+    return secret.toByteArray()
+}
--- /dev/null
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -0,0 +1,128 @@
+/**
+ * What every program has in common: its command line, its settings file, its exit statuses, and its stop.
+ */
+package sniperoute.common
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import sniperoute.process.duty.DutyFailure
+import sniperoute.process.settings.ObjectReader
+import sniperoute.process.settings.readCheckedFile
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.EventKind
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+/** The version of all programs. */
+public const val VERSION: String = "0.1.0"
+
+/** Exit statuses of all programs. */
+public object ExitStatus {
+    /** All went well. */
+    public const val SUCCESS: Int = 0
+
+    /** What was asked for could not be done. */
+    public const val FAILURE: Int = 1
+
+    /** The command line, the settings or the declarations are wrong. */
+    public const val USAGE: Int = 2
+
+    /** Nobody who could answer was reached. */
+    public const val UNREACHABLE: Int = 3
+
+    /** It is not known whether what was asked for took effect; asking again is safe. */
+    public const val UNKNOWN: Int = 4
+}
+
+/** The options of a program that runs until it is stopped. */
+public class ServerOptions {
+    @Argument(metaVar = "SETTINGS", usage = "settings file, JSON with comments")
+    public var settings: String = ""
+
+    @Option(name = "--help", help = true, usage = "print this page and exit")
+    public var help: Boolean = false
+
+    @Option(name = "--version", help = true, usage = "print the version and exit")
+    public var version: Boolean = false
+
+    @Option(name = "--check", usage = "check the settings and exit")
+    public var check: Boolean = false
+}
+
+/** Fills [options] from [arguments], or ends the program with the usage of [program]. */
+public fun <T : Any> parseArguments(program: String, options: T, arguments: Array<String>): CmdLineParser {
+    val parser = CmdLineParser(options)
+    try {
+        parser.parseArgument(*arguments)
+    } catch (failure: CmdLineException) {
+        System.err.println("$program: ${failure.message}")
+        parser.printUsage(program, System.err)
+        exitProcess(ExitStatus.USAGE)
+    }
+    return parser
+}
+
+/** Prints how to use [program] to [stream]. */
+public fun CmdLineParser.printUsage(program: String, stream: java.io.PrintStream) {
+    stream.println("usage: $program${printExample(org.kohsuke.args4j.OptionHandlerFilter.PUBLIC)} ...")
+    printUsage(stream)
+}
+
+/** Returns the checked settings of the server [program], or ends it: after help or a check, or with every mistake printed. */
+public fun <T> serverSettings(program: String, arguments: Array<String>, read: ObjectReader.() -> T): T {
+    val options = ServerOptions()
+    val parser = parseArguments(program, options, arguments)
+    if (options.help) {
+        parser.printUsage(program, System.out)
+        exitProcess(ExitStatus.SUCCESS)
+    }
+    if (options.version) {
+        println("$program $VERSION")
+        exitProcess(ExitStatus.SUCCESS)
+    }
+    if (options.settings.isEmpty()) {
+        System.err.println("$program: a settings file is needed")
+        parser.printUsage(program, System.err)
+        exitProcess(ExitStatus.USAGE)
+    }
+    val settings = readCheckedFile(Path.of(options.settings), read).fold(
+        ifLeft = { refused ->
+            System.err.println(refused.describe())
+            exitProcess(ExitStatus.USAGE)
+        },
+        ifRight = { it },
+    )
+    if (options.check) {
+        println("${options.settings}: the settings are right")
+        exitProcess(ExitStatus.SUCCESS)
+    }
+    return settings
+}
+
+/** Runs [stop] once when the process is asked to end, and waits for that moment. */
+public fun awaitStop(stop: () -> Unit) {
+    val isStopping = CountDownLatch(1)
+    val isStopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            isStopping.countDown()
+            isStopped.await()
+        },
+    )
+    isStopping.await()
+    stop()
+    isStopped.countDown()
+}
+
+private val logger = KotlinLogging.logger("sniperoute")
+
+/** Returns what to do when a duty fails: a process without one of its duties must not go on. */
+public fun failTogether(recorder: Recorder): DutyFailure = { name, failure ->
+    recorder.record(EventKind.DUTY_FAILED, detail = "$name: $failure")
+    logger.error(failure) { "${EventKind.DUTY_FAILED.number} duty $name failed; the process ends" }
+    Runtime.getRuntime().halt(ExitStatus.FAILURE)
+}
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -0,0 +1,95 @@
+/**
+ * The agreement duty: owns the agreement's state, and carries out the orders of its step.
+ */
+package sniperoute.control
+
+import sniperoute.control.decision.AgreementStatus
+import sniperoute.control.message.DeskInput
+import sniperoute.control.message.EntriesCommitted
+import sniperoute.control.message.ProposalRefused
+import sniperoute.control.message.SnapshotRestored
+import sniperoute.process.agreement.decision.*
+import sniperoute.process.agreement.message.AgreementMessage
+import sniperoute.process.agreement.message.Membership
+import sniperoute.process.agreement.message.ReplicaIdentity
+import sniperoute.process.clock.Clock
+import sniperoute.process.clock.Moment
+import sniperoute.process.duty.Duty
+import sniperoute.process.duty.DutyFailure
+import sniperoute.process.duty.startStateDuty
+import sniperoute.process.ring.Ring
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.EventKind
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
+
+private val TICK = 10.milliseconds
+
+/** Where the orders of the agreement go. */
+internal class AgreementOutlets(
+    val storage: Ring<Order>,
+    val desk: Ring<DeskInput>,
+    val send: (ReplicaIdentity, AgreementMessage) -> Unit,
+    val broadcast: (AgreementMessage) -> Unit,
+    val status: AtomicReference<AgreementStatus>,
+    val recorder: Recorder,
+)
+
+/** Returns the duty that owns [initial]. */
+internal fun startAgreementDuty(
+    inbox: Ring<AgreementInput>,
+    initial: AgreementState,
+    outlets: AgreementOutlets,
+    clock: Clock,
+    onFailure: DutyFailure,
+): Duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
+    val transition = state.step(now, input ?: Tick)
+    outlets.status.set(transition.state.toStatus(now))
+    transition.orders.forEach { outlets.carryOut(it) }
+    outlets.noteMembership(state, transition.state, now)
+    transition.state
+}
+
+/** Returns what this state shows of itself at [now]. */
+internal fun AgreementState.toStatus(now: Moment): AgreementStatus = AgreementStatus(
+    self = self.vm,
+    term = term,
+    isLeader = role is Leader,
+    leader = leaderOrNull?.vm,
+    leaseEnd = leaseEndOrNull(now),
+    committed = committed,
+    membership = log.membership,
+    redundancy = redundancy(now),
+    electionMaximum = settings.electionMaximum,
+)
+
+private fun AgreementOutlets.carryOut(order: Order): Unit = when (order) {
+    is Persist, is PersistSnapshot, is SendAfterSync -> storage.put(order)
+    is Send -> send(order.to, order.message)
+    is Broadcast -> broadcast(order.message)
+    is Apply -> desk.put(EntriesCommitted(order.entries))
+    is Restore -> desk.put(SnapshotRestored(order.snapshot))
+    is RefuseProposal -> desk.put(ProposalRefused(order.proposal, order.leader?.vm))
+    is RoleChanged -> recorder.noteRole(order)
+    is MembershipProposed -> recorder.record(EventKind.MEMBERSHIP_CHANGED, detail = order.membership.describe())
+}
+
+private fun Recorder.noteRole(change: RoleChanged) = when (val role = change.role) {
+    is Leader -> record(EventKind.LEADER_ELECTED, detail = "term ${change.term}")
+    is Follower ->
+        if (role.leader == null) {
+            record(EventKind.LEADER_STEPPED_DOWN, detail = "no leader in term ${change.term}")
+        } else {
+            record(EventKind.FOLLOWING_LEADER, detail = "${role.leader} in term ${change.term}")
+        }
+    else -> Unit
+}
+
+private fun Membership.describe(): String = "voters ${voters.joinToString()}, learners ${learners.joinToString()}"
+
+private fun AgreementOutlets.noteMembership(before: AgreementState, after: AgreementState, now: Moment) {
+    val isRepaired = after.role is Leader &&
+        before.redundancy(now) == Redundancy.REDUCED &&
+        after.redundancy(now) == Redundancy.FULL
+    if (isRepaired) recorder.record(EventKind.REDUNDANCY_RESTORED, detail = after.log.membership.describe())
+}
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -0,0 +1,150 @@
+/**
+ * The links of a control replica: to the other replicas, whose messages go to the agreement duty, and to routers, whose
+ * messages go to the control desk.
+ */
+package sniperoute.control
+
+import sniperoute.connection.peer.LinkRefused
+import sniperoute.connection.peer.PeerHandlers
+import sniperoute.connection.peer.PeerLink
+import sniperoute.connection.peer.message.Envelope
+import sniperoute.connection.peer.message.EnvelopeChannel
+import sniperoute.connection.peer.message.PeerName
+import sniperoute.connection.peer.message.PeerRole
+import sniperoute.control.message.DeskInput
+import sniperoute.control.message.LedgerReceived
+import sniperoute.control.message.LinkNumber
+import sniperoute.control.message.ReplyAddress
+import sniperoute.control.message.RouterLinkClosed
+import sniperoute.control.message.SessionReceived
+import sniperoute.process.agreement.codec.decodeAgreementMessage
+import sniperoute.process.agreement.codec.encode
+import sniperoute.process.agreement.decision.AgreementInput
+import sniperoute.process.agreement.decision.Received
+import sniperoute.process.agreement.message.AgreementMessage
+import sniperoute.process.agreement.message.ReplicaIdentity
+import sniperoute.process.identity.VmName
+import sniperoute.process.ring.Ring
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.request.ledger.codec.decodeLedgerRequest
+import sniperoute.request.ledger.codec.encode
+import sniperoute.request.ledger.message.LedgerReply
+import sniperoute.version.codec.decodeSessionMessage
+import sniperoute.version.codec.encode
+import sniperoute.version.decision.RouterName
+import sniperoute.version.message.SessionMessage
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** The open links. A full ring drops what came: both protocols send again what matters. */
+internal class ControlLinks(
+    private val agreement: Ring<AgreementInput>,
+    private val desk: Ring<DeskInput>,
+    private val recorder: Recorder,
+) {
+    private val replicas = ConcurrentHashMap<VmName, PeerLink>()
+    private val routers = ConcurrentHashMap<LinkNumber, PeerLink>()
+    private val numbers = ConcurrentHashMap<PeerLink, LinkNumber>()
+    private val lastNumber = AtomicLong()
+
+    /** Handlers of the links that others dialed: routers ask here, replicas send what they have for this one. */
+    fun handlers(): PeerHandlers = PeerHandlers(::accepted, ::received, ::closed, ::refused)
+
+    /** Handlers of the links that this replica dialed, on which it only sends. */
+    fun dialerHandlers(): PeerHandlers = PeerHandlers(
+        opened = { link ->
+            replicas[link.peer.vm] = link
+            recorder.record(EventKind.PEER_CONNECTED, detail = "replica ${link.peer.vm}")
+        },
+        received = { _, _ -> },
+        closed = { link, reason ->
+            replicas.remove(link.peer.vm, link)
+            recorder.record(EventKind.PEER_LOST, detail = "replica ${link.peer.vm}: $reason")
+        },
+        refused = ::refused,
+    )
+
+    /** Sends [message] to the replica [to], if a link to just that replica is open. */
+    fun sendAgreement(to: ReplicaIdentity, message: AgreementMessage) {
+        val link = replicas[to.vm] ?: return
+        if (link.peer.disk == to.disk) link.send(envelope(EnvelopeChannel.AGREEMENT, 0, message.encode()))
+    }
+
+    /** Sends [message] to every replica that is linked. */
+    fun broadcastAgreement(message: AgreementMessage) {
+        val bytes = message.encode()
+        replicas.values.forEach { it.send(envelope(EnvelopeChannel.AGREEMENT, 0, bytes)) }
+    }
+
+    /** Sends [message] to a router. */
+    fun reply(to: ReplyAddress, message: SessionMessage) {
+        routers[to.link]?.send(envelope(EnvelopeChannel.SESSION, to.correlation, message.encode()))
+    }
+
+    /** Sends [reply] to a router. */
+    fun reply(to: ReplyAddress, reply: LedgerReply) {
+        routers[to.link]?.send(envelope(EnvelopeChannel.LEDGER, to.correlation, reply.encode()))
+    }
+
+    private fun envelope(channel: EnvelopeChannel, correlation: Long, body: ByteArray) =
+        Envelope(channel, correlation, recorder.stamp(), body)
+
+    private fun accepted(link: PeerLink) {
+        if (link.peer.role != PeerRole.ROUTER) return
+        val number = LinkNumber(lastNumber.incrementAndGet())
+        numbers[link] = number
+        routers[number] = link
+        recorder.record(EventKind.PEER_CONNECTED, detail = "router ${link.peer.vm}")
+    }
+
+    private fun received(link: PeerLink, envelope: Envelope) {
+        recorder.witness(envelope.stamp)
+        when (envelope.channel) {
+            EnvelopeChannel.AGREEMENT -> receiveAgreement(link, envelope)
+            EnvelopeChannel.SESSION -> receiveSession(link, envelope)
+            EnvelopeChannel.LEDGER -> receiveLedger(link, envelope)
+        }
+    }
+
+    private fun receiveAgreement(link: PeerLink, envelope: Envelope) {
+        val sender = link.peer.replicaOrNull() ?: return refuse(link, "a router sent a message of the agreement")
+        decodeAgreementMessage(envelope.body).fold(
+            ifLeft = { refuse(link, it.reason) },
+            ifRight = { agreement.offer(Received(sender, it)) },
+        )
+    }
+
+    private fun receiveSession(link: PeerLink, envelope: Envelope) {
+        val number = numbers[link] ?: return refuse(link, "a replica sent a session message")
+        val router = RouterName(link.peer.vm, link.peer.incarnation)
+        decodeSessionMessage(envelope.body).fold(
+            ifLeft = { refuse(link, it.reason) },
+            ifRight = { desk.offer(SessionReceived(router, ReplyAddress(number, envelope.correlation), it)) },
+        )
+    }
+
+    private fun receiveLedger(link: PeerLink, envelope: Envelope) {
+        val number = numbers[link] ?: return refuse(link, "a replica sent a ledger message")
+        decodeLedgerRequest(envelope.body).fold(
+            ifLeft = { refuse(link, it.reason) },
+            ifRight = { desk.offer(LedgerReceived(ReplyAddress(number, envelope.correlation), it)) },
+        )
+    }
+
+    private fun closed(link: PeerLink, reason: String) {
+        val number = numbers.remove(link) ?: return
+        routers.remove(number)
+        desk.offer(RouterLinkClosed(number))
+        recorder.record(EventKind.PEER_LOST, detail = "router ${link.peer.vm}: $reason")
+    }
+
+    private fun refuse(link: PeerLink, reason: String) {
+        link.close()
+        refused(LinkRefused("${link.peer.vm}: $reason"))
+    }
+
+    private fun refused(refusal: LinkRefused) = recorder.record(EventKind.PEER_REFUSED, detail = refusal.reason)
+}
+
+private fun PeerName.replicaOrNull(): ReplicaIdentity? = disk?.let { ReplicaIdentity(vm, it) }
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -0,0 +1,219 @@
+/**
+ * The HTTP pages for operators: each request must carry an operator's key, and each change is a command that the replicas
+ * agree on before it is answered.
+ */
+package sniperoute.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import sniperoute.common.Operator
+import sniperoute.common.administrationJson
+import sniperoute.common.commonPageOrNull
+import sniperoute.common.openPages
+import sniperoute.common.operatorOrNull
+import sniperoute.common.reply
+import sniperoute.common.unauthorizedPage
+import sniperoute.common.unknownPage
+import sniperoute.connection.http.Exchange
+import sniperoute.connection.http.Header
+import sniperoute.connection.http.HttpStatus
+import sniperoute.connection.http.codec.WholeAnswer
+import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.connection.http.codec.jsonAnswer
+import sniperoute.connection.http.queryValueOrNull
+import sniperoute.control.decision.*
+import sniperoute.control.message.*
+import sniperoute.process.clock.Clock
+import sniperoute.process.metrics.MetricsRegistry
+import sniperoute.process.timeline.Recorder
+import sniperoute.version.codec.digest
+import sniperoute.version.decision.*
+import sniperoute.version.message.*
+
+/** The pages of one replica. */
+internal class OperatorPages(
+    private val settings: ControlSettings,
+    private val desk: DeskDuty,
+    private val metrics: MetricsRegistry,
+    private val recorder: Recorder,
+    private val clock: Clock,
+) {
+    /** Answers [exchange]. */
+    fun handle(exchange: Exchange) {
+        val isOpen = exchange.head.path in openPages
+        val operator = settings.operators.operatorOrNull(exchange.head)
+        when {
+            isOpen -> exchange.reply(commonPage(exchange) ?: unknownPage(exchange.head.path))
+            operator == null -> exchange.reply(unauthorizedPage())
+            exchange.head.method == "GET" -> exchange.reply(read(exchange))
+            exchange.head.method == "POST" -> change(exchange, operator)
+            else -> exchange.reply(errorAnswer(HttpStatus.METHOD_NOT_ALLOWED, "method", "use GET or POST", NOT_RUN))
+        }
+    }
+
+    private fun commonPage(exchange: Exchange): WholeAnswer? = commonPageOrNull(exchange, metrics, recorder, ::unreadyReason)
+
+    private fun unreadyReason(): String? = if (desk.status.get().leader == null) "no leader is known" else null
+
+    private fun read(exchange: Exchange): WholeAnswer = when (exchange.head.path) {
+        "/status" -> json(StatusReply.serializer(), status())
+        "/configuration" -> configuration()
+        "/in-force" -> inForce(exchange.head.queryValueOrNull("revision")?.toLongOrNull())
+        else -> commonPage(exchange) ?: unknownPage(exchange.head.path)
+    }
+
+    private fun isLeading(): Boolean = desk.published.get().isLeading(desk.status.get(), clock())
+
+    private fun configuration(): WholeAnswer {
+        if (!isLeading()) return notLeader(desk.status.get().leader?.text)
+        val configurations = desk.published.get().machine.configurations
+        return json(ConfigurationReply.serializer(), ConfigurationReply(configurations.number, configurations.declarations))
+    }
+
+    private fun inForce(wanted: Long?): WholeAnswer {
+        if (!isLeading()) return notLeader(desk.status.get().leader?.text)
+        val state = desk.published.get()
+        val leases = state.leadership?.leases ?: return notLeader(null)
+        val revision = wanted ?: state.machine.published.revision
+        val report = leases.report(revision, clock())
+        return json(ForceReply.serializer(), ForceReply(revision, report.confirmed, report.live, report.isEverywhere))
+    }
+
+    private fun status(): StatusReply {
+        val status = desk.status.get()
+        val state = desk.published.get()
+        val machine = state.machine
+        val membership = status.membership
+        return StatusReply(
+            vm = status.self.text,
+            leads = isLeading(),
+            leader = status.leader?.text,
+            term = status.term,
+            committed = status.committed,
+            applied = state.applied,
+            redundancy = status.redundancy.name.lowercase(),
+            configuration = machine.configurations.number,
+            digest = machine.configurations.declarations?.digest(),
+            revision = machine.published.revision,
+            replicas = membership.everyone.map { ReplicaView(it.vm.text, it.disk.toString(), it in membership.voters) }.toPersistentList(),
+            routers = state.routers(),
+            moves = machine.moves().toPersistentList(),
+            quarantine = machine.quarantine(),
+        )
+    }
+
+    private fun DeskState.routers() =
+        leadership?.leases?.routers.orEmpty()
+            .filterValues { it.until > clock() }
+            .map { (name, lease) -> RouterView(name.vm.text, name.incarnation.toString(), lease.revision) }
+            .sortedBy { it.vm }
+            .toPersistentList()
+
+    private fun ControlState.quarantine() =
+        published.changes.values.mapNotNull { (it.item as? QuarantineItem)?.digest?.text }.sorted().toPersistentList()
+
+    private fun change(exchange: Exchange, operator: Operator) {
+        commandOf(exchange, operator.name).fold(
+            ifLeft = exchange::reply,
+            ifRight = { command -> submit(exchange, command) },
+        )
+    }
+
+    private fun submit(exchange: Exchange, command: Command) {
+        val taken = desk.command(command) { exchange.reply(answerTo(it)) }
+        if (!taken) exchange.reply(errorAnswer(HttpStatus.UNAVAILABLE, "busy", "this replica is too busy; try again", NOT_RUN))
+    }
+
+    private fun commandOf(exchange: Exchange, operator: String): Either<WholeAnswer, Command> {
+        val now = clock()
+        return when (exchange.head.path) {
+            "/configuration" -> form(SubmissionForm.serializer(), exchange).checkDigest()
+                .map { SubmitConfiguration(now, it.follows, it.digest, operator, it.declarations) }
+            "/keys/grant" -> form(KeyForm.serializer(), exchange).checkKey { either {
+                val workspace = ensureNotNull(it.workspace) { malformed("\"workspace\" is missing") }
+                GrantKey(now, KeyDigest(it.sha256), WorkspaceName(workspace), operator)
+            } }
+            "/keys/withdraw" -> form(KeyForm.serializer(), exchange).checkKey { WithdrawKey(now, KeyDigest(it.sha256), operator).right() }
+            "/moves/start" -> form(MoveForm.serializer(), exchange).fold({ it.left() }, { startMove(it, now, operator) })
+            "/moves/take-back" -> form(MoveForm.serializer(), exchange).map { TakeBackMove(now, ServiceName(it.service), operator) }
+            "/quarantine/pardon" -> form(DigestForm.serializer(), exchange).map { PardonDigest(now, RequestDigest(it.digest), operator) }
+            else -> unknownPage(exchange.head.path).left()
+        }
+    }
+
+    private fun startMove(form: MoveForm, now: sniperoute.process.clock.Moment, operator: String): Either<WholeAnswer, Command> = either {
+        val to = ensureNotNull(form.to) { malformed("\"to\" is missing") }
+        val deadline = ensureNotNull(form.deadlineMilliseconds) { malformed("\"deadlineMilliseconds\" is missing") }
+        ensure(deadline in SHORTEST_MOVE..LONGEST_MOVE) { malformed("the deadline must be $SHORTEST_MOVE to $LONGEST_MOVE milliseconds") }
+        StartMove(now, ServiceName(form.service), WeightsVersion(to), deadline, operator)
+    }
+}
+
+private const val NOT_RUN = "not-run"
+private const val SHORTEST_MOVE = 1_000L
+private const val LONGEST_MOVE = 86_400_000L
+private val DIGEST_FORM = Regex("[0-9a-f]{64}")
+
+private fun Either<WholeAnswer, SubmissionForm>.checkDigest(): Either<WholeAnswer, SubmissionForm> = fold({ it.left() }) { form ->
+    if (form.declarations.digest() == form.digest) form.right() else malformed("the digest is not that of the declarations").left()
+}
+
+private fun Either<WholeAnswer, KeyForm>.checkKey(toCommand: (KeyForm) -> Either<WholeAnswer, Command>): Either<WholeAnswer, Command> =
+    fold({ it.left() }) { form ->
+        if (DIGEST_FORM.matches(form.sha256)) toCommand(form) else malformed("\"sha256\" must be 64 hexadecimal digits").left()
+    }
+
+private fun <T> form(serializer: KSerializer<T>, exchange: Exchange): Either<WholeAnswer, T> =
+    try {
+        administrationJson.decodeFromString(serializer, exchange.body.decodeToString()).right()
+    } catch (failure: SerializationException) {
+        malformed(failure.message.orEmpty().lineSequence().first()).left()
+    } catch (failure: IllegalArgumentException) {
+        malformed(failure.message.orEmpty().lineSequence().first()).left()
+    }
+
+private fun malformed(reason: String): WholeAnswer = errorAnswer(HttpStatus.BAD_REQUEST, "malformed_request", reason, NOT_RUN)
+
+private fun notLeader(leader: String?): WholeAnswer {
+    val header = persistentListOf(Header("sniperoute-leader", leader.orEmpty()))
+    return errorAnswer(HttpStatus.UNAVAILABLE, "not_leader", "the leader is ${leader ?: "not known"}", NOT_RUN, header)
+}
+
+private fun leadershipLost(): WholeAnswer =
+    errorAnswer(HttpStatus.UNAVAILABLE, "leadership_lost", "leadership changed meanwhile; send it again", "may-have-run")
+
+private fun <T> json(serializer: KSerializer<T>, value: T, status: Int = HttpStatus.OK): WholeAnswer =
+    jsonAnswer(status, administrationJson.encodeToString(serializer, value))
+
+private fun answerTo(order: AnswerOperator): WholeAnswer = when (val result = order.result) {
+    null -> if (order.mayHaveRun) leadershipLost() else notLeader(order.leader?.text)
+    is SubmissionJudged -> answerTo(result)
+    is TookEffect -> json(EffectReply.serializer(), EffectReply(result.revision))
+    is HasNoEffect -> errorAnswer(HttpStatus.CONFLICT, "no_effect", result.reason, NOT_RUN)
+    else -> errorAnswer(HttpStatus.INTERNAL_ERROR, "unexpected", "the command came to $result", "may-have-run")
+}
+
+private fun answerTo(judged: SubmissionJudged): WholeAnswer = when (val outcome = judged.outcome) {
+    is SubmissionAccepted -> json(SubmissionReply.serializer(), SubmissionReply("accepted", outcome.number, judged.revision))
+    is SubmissionRepeated -> json(SubmissionReply.serializer(), SubmissionReply("repeated", outcome.number, outcome.revision))
+    is SubmissionLost -> json(
+        SubmissionReply.serializer(),
+        SubmissionReply("lost", outcome.number, judged.revision, outcome.winner?.digest, outcome.winner?.operator, outcome.current),
+        HttpStatus.CONFLICT,
+    )
+    is SubmissionInvalid -> json(
+        SubmissionReply.serializer(),
+        SubmissionReply("invalid", 0, judged.revision, problems = outcome.problems.map { it.describe() }.toPersistentList()),
+        HttpStatus.UNPROCESSABLE,
+    )
+}
+
+private fun DeclarationProblem.describe(): String = "$subject: $problem; expected $expected"
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/codec/ControlImages.kt
@@ -0,0 +1,161 @@
+/**
+ * The binary form of commands and of the whole state, for the log and for snapshots.
+ */
+package sniperoute.control.codec
+
+import arrow.core.Either
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.serialization.Serializable
+import sniperoute.control.decision.ControlState
+import sniperoute.control.message.Command
+import sniperoute.process.clock.Moment
+import sniperoute.process.codec.ItemList
+import sniperoute.process.codec.Undecodable
+import sniperoute.process.codec.fromBytes
+import sniperoute.process.codec.toBytes
+import sniperoute.request.ledger.decision.Begun
+import sniperoute.request.ledger.decision.CallState
+import sniperoute.request.ledger.decision.Finished
+import sniperoute.request.ledger.decision.Ledger
+import sniperoute.request.ledger.decision.LedgerEntry
+import sniperoute.request.ledger.decision.Lost
+import sniperoute.request.ledger.message.LedgerKey
+import sniperoute.request.ledger.message.LedgerOwner
+import sniperoute.request.ledger.message.RecordedAnswer
+import sniperoute.request.quarantine.decision.Charge
+import sniperoute.request.quarantine.decision.Deaths
+import sniperoute.version.decision.AcceptedSubmission
+import sniperoute.version.decision.Allowances
+import sniperoute.version.decision.Bucket
+import sniperoute.version.decision.CommandedKeys
+import sniperoute.version.decision.Configurations
+import sniperoute.version.decision.Published
+import sniperoute.version.message.*
+
+/** Returns the bytes of this command. */
+public fun Command.encode(): ByteArray = Command.serializer().toBytes(this)
+
+/** Returns the command in [bytes]. */
+public fun decodeCommand(bytes: ByteArray): Either<Undecodable, Command> = Command.serializer().fromBytes(bytes)
+
+@Serializable
+private data class WinnerImage(val number: Long, val digest: String, val operator: String, val revision: Long)
+
+@Serializable
+private data class BucketImage(
+    val workspace: WorkspaceName,
+    val level: Long,
+    val at: Long,
+    val tokensPerSecond: Long,
+    val burstTokens: Long,
+)
+
+/** A call: it [isLost], or it ran with [answer], or neither. */
+@Serializable
+private class CallImage(
+    val key: LedgerKey,
+    val owner: LedgerOwner,
+    val digest: RequestDigest,
+    val isLost: Boolean,
+    val answer: RecordedAnswer?,
+    val changed: Moment,
+)
+
+@Serializable
+private data class ChargeImage(val digest: RequestDigest, val endpoints: ItemList<EndpointName>, val at: Moment)
+
+@Serializable
+private class ControlImage(
+    val number: Long,
+    val winners: ItemList<WinnerImage>,
+    val declarations: Declarations?,
+    val revision: Long,
+    val forgotten: Long,
+    val changes: ItemList<ItemChange>,
+    val granted: ItemList<DeclaredKey>,
+    val withdrawn: ItemList<KeyDigest>,
+    val fleetMicroseconds: Long,
+    val term: Long,
+    val marked: Moment,
+    val buckets: ItemList<BucketImage>,
+    val calls: ItemList<CallImage>,
+    val charges: ItemList<ChargeImage>,
+    val ledgerSwept: Moment,
+)
+
+/** Returns the bytes of this state. */
+public fun ControlState.encode(): ByteArray = ControlImage.serializer().toBytes(toImage())
+
+/** Returns the state in [bytes]. */
+public fun decodeControlState(bytes: ByteArray): Either<Undecodable, ControlState> =
+    ControlImage.serializer().fromBytes(bytes).map { it.toState() }
+
+private fun ControlState.toImage(): ControlImage = ControlImage(
+    number = configurations.number,
+    winners = configurations.winners.toItems { number, won -> WinnerImage(number, won.digest, won.operator, won.revision) },
+    declarations = configurations.declarations,
+    revision = published.revision,
+    forgotten = published.forgotten,
+    changes = published.changes.values.toImmutableList(),
+    granted = keys.granted.toItems { digest, workspace -> DeclaredKey(digest, workspace) },
+    withdrawn = keys.withdrawn.toImmutableList(),
+    fleetMicroseconds = allowances.fleetMicroseconds,
+    term = allowances.term,
+    marked = allowances.marked,
+    buckets = allowances.buckets.toItems { name, bucket ->
+        BucketImage(name, bucket.level, bucket.at, bucket.tokensPerSecond, bucket.burstTokens)
+    },
+    calls = ledger.entries.toItems(::callImage),
+    charges = deaths.charges.toItems { digest, charge -> ChargeImage(digest, charge.endpoints.toImmutableList(), charge.at) },
+    ledgerSwept = ledgerSwept,
+)
+
+private fun <K, V, T> PersistentMap<K, V>.toItems(convert: (K, V) -> T): ImmutableList<T> =
+    map { (key, value) -> convert(key, value) }.toImmutableList()
+
+private fun callImage(key: LedgerKey, entry: LedgerEntry): CallImage = CallImage(
+    key = key,
+    owner = entry.owner,
+    digest = entry.digest,
+    isLost = entry.state is Lost,
+    answer = (entry.state as? Finished)?.answer,
+    changed = entry.changed,
+)
+
+private fun ControlImage.toState(): ControlState = ControlState(
+    configurations = Configurations(
+        number,
+        winners.toMap { it.number to AcceptedSubmission(it.digest, it.operator, it.revision) },
+        declarations,
+    ),
+    published = Published(revision, forgotten, changes.toMap { it.name to it }),
+    keys = CommandedKeys(granted.toMap { it.digest to it.workspace }, withdrawn.toPersistentSet()),
+    allowances = Allowances(
+        fleetMicroseconds,
+        term,
+        marked,
+        buckets.toMap { it.workspace to Bucket(it.level, it.at, it.tokensPerSecond, it.burstTokens) },
+    ),
+    ledger = toLedger(),
+    deaths = Deaths(charges.toMap { it.digest to Charge(it.endpoints.toPersistentSet(), it.at) }),
+    ledgerSwept = ledgerSwept,
+)
+
+private fun <T, K, V> ImmutableList<T>.toMap(convert: (T) -> Pair<K, V>): PersistentMap<K, V> =
+    persistentMapOf<K, V>().builder().also { map -> forEach { item -> convert(item).let { map[it.first] = it.second } } }.build()
+
+private fun ControlImage.toLedger(): Ledger {
+    val entries = calls.toMap { it.key to LedgerEntry(it.owner, it.digest, it.state(), it.changed) }
+    val counts = calls.groupingBy { it.key.workspace ?: WorkspaceName("") }.eachCount()
+    return Ledger(entries, persistentMapOf<WorkspaceName, Int>().putAll(counts))
+}
+
+private fun CallImage.state(): CallState = when {
+    answer != null -> Finished(answer)
+    isLost -> Lost
+    else -> Begun
+}
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -0,0 +1,284 @@
+/**
+ * The step of the control duty: it applies what was agreed, and while it leads, answers routers and operators.
+ */
+package sniperoute.control.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.control.codec.decodeCommand
+import sniperoute.control.codec.decodeControlState
+import sniperoute.control.codec.encode
+import sniperoute.control.message.*
+import sniperoute.process.agreement.message.CommandEntry
+import sniperoute.process.agreement.message.LogEntry
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
+import sniperoute.request.ledger.decision.answerFor
+import sniperoute.request.ledger.message.BeginCall
+import sniperoute.request.ledger.message.CallIsRunning
+import sniperoute.request.ledger.message.LedgerNotHere
+import sniperoute.request.ledger.message.LedgerReply
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.decision.*
+import sniperoute.version.message.*
+
+private const val ENTRIES_BETWEEN_SNAPSHOTS = 1_000
+
+/** Returns the next state and the orders for [input] at [now]; no input means that time has passed. */
+public fun DeskState.step(status: AgreementStatus, now: Moment, input: DeskInput?): DeskStep =
+    followStatus(status, now).then { it.take(status, now, input) }
+
+private fun DeskState.take(status: AgreementStatus, now: Moment, input: DeskInput?): DeskStep = when (input) {
+    null -> onTime(status, now)
+    is EntriesCommitted -> input.entries.fold(unchanged()) { step, entry -> step.then { it.applyEntry(entry, now) } }.then { it.keepSnapshot() }
+    is SnapshotRestored -> restore(input)
+    is ProposalRefused -> refuseWaiter(input)
+    is SessionReceived -> onSession(input, status, now)
+    is LedgerReceived -> onLedger(input, status, now)
+    is RouterLinkClosed -> lead { copy(links = links.remove(input.link)) }.unchanged()
+    is OperatorCommanded -> onOperator(input, status, now)
+    is WeightsRead -> onWeightsRead(input).unchanged()
+}
+
+/** Begins or ends leadership as the agreement says; what waited when it ends is told so. */
+private fun DeskState.followStatus(status: AgreementStatus, now: Moment): DeskStep {
+    val isSame = leadership?.term == status.term
+    return when {
+        status.isLeader && isSame -> unchanged()
+        status.isLeader -> {
+            val leases = newLeases(now, status.electionMaximum)
+            dismissWaiters(status).then {
+                val known = newLeadership(status.term, now, status.electionMaximum, leases, it.machine.published.revision)
+                it.copy(leadership = known).unchanged()
+            }
+        }
+        leadership != null -> dismissWaiters(status).then { it.copy(leadership = null).unchanged() }
+        else -> unchanged()
+    }
+}
+
+private fun DeskState.dismissWaiters(status: AgreementStatus): DeskStep =
+    leadership?.waiters?.values.orEmpty().fold(unchanged()) { step, waiter -> step.then { it.dismiss(waiter, status.leader, mayHaveRun = true) } }
+
+private fun DeskState.dismiss(waiter: Waiter, leader: VmName?, mayHaveRun: Boolean): DeskStep = when (waiter) {
+    is LedgerWaiter -> unchanged().order(ReplyLedger(waiter.to, LedgerNotHere))
+    is OperatorWaiter -> unchanged().order(AnswerOperator(waiter.wait, null, leader, mayHaveRun))
+    is TokenWaiter -> waiter.asks.fold(unchanged()) { step, ask -> step.order(ReplySession(ask.to, NotLeader(leader))) }
+    is NobodyWaits -> unchanged()
+}
+
+private fun DeskState.refuseWaiter(input: ProposalRefused): DeskStep {
+    val waiter = leadership?.waiters?.get(input.proposal) ?: return unchanged()
+    return lead { copy(waiters = waiters.remove(input.proposal), isTokenCommandOpen = isTokenCommandOpen && waiter !is TokenWaiter) }
+        .dismiss(waiter, input.leader, mayHaveRun = false)
+}
+
+private fun DeskState.restore(input: SnapshotRestored): DeskStep {
+    if (input.snapshot.state.isEmpty()) return copy(applied = input.snapshot.index).unchanged()
+    val machine = decodeControlState(input.snapshot.state)
+        .fold({ error("the snapshot at ${input.snapshot.index} holds no state: ${it.reason}") }, { it })
+    return copy(applied = input.snapshot.index, snapshotIndex = input.snapshot.index, machine = machine).unchanged()
+}
+
+private fun DeskState.keepSnapshot(): DeskStep {
+    if (applied - snapshotIndex < ENTRIES_BETWEEN_SNAPSHOTS) return unchanged()
+    return copy(snapshotIndex = applied).unchanged().order(KeepSnapshot(applied, machine.encode()))
+}
+
+private fun DeskState.applyEntry(entry: LogEntry, now: Moment): DeskStep {
+    if (entry.index <= applied) return unchanged()
+    val content = entry.content as? CommandEntry ?: return copy(applied = entry.index).unchanged()
+    val command = decodeCommand(content.bytes)
+        .fold({ error("entry ${entry.index} holds no command: ${it.reason}") }, { it })
+    val outcome = machine.apply(command, entry.index)
+    val before = machine.published.revision
+    val next = copy(applied = entry.index, machine = outcome.state).noteEvents(command, outcome)
+    val answered = next.then { it.answerWaiter(content.proposal, outcome.result, now) }
+    return if (outcome.state.published.revision > before) answered.then { it.notifyRouters() } else answered
+}
+
+private fun DeskState.notifyRouters(): DeskStep {
+    val links = leadership?.links?.keys.orEmpty().toPersistentList()
+    if (links.isEmpty()) return unchanged()
+    return unchanged().order(NotifyRouters(links, ChangeNotice(machine.published.revision)))
+}
+
+private fun DeskState.answerWaiter(proposal: Long, result: CommandResult, now: Moment): DeskStep {
+    val waiter = leadership?.waiters?.get(proposal) ?: return unchanged()
+    val next = lead { copy(waiters = waiters.remove(proposal)) }
+    return when (waiter) {
+        is LedgerWaiter -> next.answerLedger(waiter, (result as LedgerAnswered).reply, now)
+        is OperatorWaiter -> next.unchanged().order(AnswerOperator(waiter.wait, result, null))
+        is TokenWaiter -> next.answerTokens(waiter, (result as TokensChanged).granted, now)
+        is NobodyWaits -> next.unchanged()
+    }
+}
+
+private fun DeskState.answerLedger(waiter: LedgerWaiter, reply: LedgerReply, now: Moment): DeskStep =
+    unchanged().order(ReplyLedger(waiter.to, truthful(waiter.request, reply, now)))
+
+private const val MILLISECONDS_PER_SECOND = 1_000L
+
+private fun DeskState.answerTokens(waiter: TokenWaiter, granted: PersistentList<Long>, now: Moment): DeskStep {
+    val answered = lead { copy(isTokenCommandOpen = false) }
+    val replies = waiter.asks.zip(granted) { ask, tokens ->
+        ReplySession(ask.to, TokenGrant(ask.workspace, tokens, machine.retryMilliseconds(ask, tokens)))
+    }
+    return replies.fold(answered.unchanged()) { step, reply -> step.order(reply) }.then { it.proposeTokens(now, isDue = false) }
+}
+
+private const val SHORTEST_RETRY = 50L
+private const val LONGEST_RETRY = 1_000L
+
+private fun ControlState.retryMilliseconds(ask: TokenAsk, granted: Long): Long {
+    val missing = ask.tokens - granted
+    val rate = allowances.buckets[ask.workspace]?.tokensPerSecond ?: return LONGEST_RETRY
+    return if (missing <= 0) 0 else (missing * MILLISECONDS_PER_SECOND / rate).coerceIn(SHORTEST_RETRY, LONGEST_RETRY)
+}
+
+private const val MARK_INTERVAL_MICROSECONDS = 1_000_000L
+
+/** Proposes what routers asked for since the last command about tokens; when [isDue], also just to advance fleet time. */
+private fun DeskState.proposeTokens(now: Moment, isDue: Boolean): DeskStep {
+    val known = leadership ?: return unchanged()
+    val hasWork = known.asks.isNotEmpty() || known.returns.isNotEmpty() || isDue
+    if (known.isTokenCommandOpen || !hasWork) return unchanged()
+    val wanted = known.asks.map { TokenAmount(it.workspace, it.tokens) }.toPersistentList()
+    val command = ChangeTokens(now, known.term, known.returns, wanted)
+    val next = lead {
+        copy(
+            asks = persistentListOf(),
+            returns = persistentListOf(),
+            isTokenCommandOpen = true,
+            nextMark = Moment(now.microseconds + MARK_INTERVAL_MICROSECONDS),
+        )
+    }
+    return next.propose(command, TokenWaiter(known.asks))
+}
+
+/** Returns the state after [command] was handed to the agreement for [waiter]. */
+internal fun DeskState.propose(command: Command, waiter: Waiter): DeskStep {
+    val proposal = nextProposal
+    return copy(nextProposal = proposal + 1)
+        .lead { copy(waiters = waiters.put(proposal, waiter)) }
+        .unchanged()
+        .order(ProposeCommand(proposal, command.encode()))
+}
+
+private fun DeskState.onOperator(input: OperatorCommanded, status: AgreementStatus, now: Moment): DeskStep =
+    if (isLeading(status, now)) {
+        propose(input.command, OperatorWaiter(input.wait))
+    } else {
+        unchanged().order(AnswerOperator(input.wait, null, status.leader))
+    }
+
+private fun DeskState.onSession(input: SessionReceived, status: AgreementStatus, now: Moment): DeskStep {
+    if (!isLeading(status, now)) return unchanged().order(ReplySession(input.from, NotLeader(status.leader)))
+    val known = lead { copy(links = links.put(input.from.link, input.router)) }
+    return when (val message = input.message) {
+        is RenewRequest -> known.renew(input, message, now)
+        is TokenRequest -> known
+            .lead { copy(asks = asks.add(TokenAsk(input.from, message.workspace, message.tokens))) }
+            .proposeTokens(now, isDue = false)
+        is TokenReturn -> known
+            .lead { copy(returns = returns.add(TokenAmount(message.workspace, message.tokens))) }
+            .proposeTokens(now, isDue = false)
+        else -> known.unchanged()
+    }
+}
+
+private fun DeskState.renew(input: SessionReceived, request: RenewRequest, now: Moment): DeskStep {
+    val renewed = lead {
+        copy(
+            leases = leases.renew(input.router, request.revision, now),
+            evidence = evidence.put(input.router, evidenceTable(request.evidence)),
+        )
+    }
+    val published = machine.published
+    val since = published.changesSince(request.revision)
+    val reply = RenewReply(
+        term = checkNotNull(leadership) { "only a leader renews leases" }.term,
+        leaseMilliseconds = LEASE.inWholeMilliseconds,
+        revision = published.revision,
+        configuration = machine.configurations.number,
+        isWhole = since.isWhole,
+        changes = since.changes,
+    )
+    return renewed.unchanged().order(ReplySession(input.from, reply)).then { it.reportInForce(now) }
+}
+
+/** Notes in the time line when the newest revision is in force everywhere. */
+private fun DeskState.reportInForce(now: Moment): DeskStep {
+    val known = leadership ?: return unchanged()
+    val revision = machine.published.revision
+    val report = known.leases.report(revision, now)
+    if (known.reported >= revision || !report.isEverywhere) return unchanged()
+    val subject = EventSubject(configuration = machine.configurations.number)
+    return lead { copy(reported = revision) }
+        .unchanged()
+        .order(NoteEvent(EventKind.CONFIGURATION_IN_FORCE_EVERYWHERE, subject, "revision $revision on ${report.live} routers"))
+}
+
+private fun DeskState.onLedger(input: LedgerReceived, status: AgreementStatus, now: Moment): DeskStep {
+    if (!isLeading(status, now)) return unchanged().order(ReplyLedger(input.from, LedgerNotHere))
+    return propose(ChangeLedger(now, input.request), LedgerWaiter(input.from, input.request))
+}
+
+/** Whether the run of the router that owns a call may still be at work, as far as this leader knows. */
+private fun DeskState.isOwnerAlive(request: BeginCall, now: Moment): Boolean {
+    val known = leadership ?: return true
+    val owner = machine.ledger.entries[request.key]?.owner ?: return true
+    val lease = known.leases.routers[RouterName(owner.vm, owner.incarnation)]
+    return lease != null && lease.until > now || now < known.leases.complete
+}
+
+private fun DeskState.onTime(status: AgreementStatus, now: Moment): DeskStep {
+    val known = leadership ?: return unchanged()
+    if (!isLeading(status, now)) return unchanged()
+    return proposeTokens(now, isDue = now >= known.nextMark)
+        .then { it.reportInForce(now) }
+        .then { it.tendMoves(now) }
+}
+
+private fun DeskState.noteEvents(command: Command, outcome: Applied): DeskStep {
+    val event = eventOrNull(command, outcome) ?: return unchanged()
+    val held = outcome.quarantined.map { NoteEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "digest $it") }
+    return held.fold(unchanged().order(event)) { step, note -> step.order(note) }
+}
+
+private fun eventOrNull(command: Command, outcome: Applied): NoteEvent? = when (command) {
+    is SubmitConfiguration -> submissionEvent(command, outcome)
+    is GrantKey -> NoteEvent(EventKind.KEY_GRANTED, EventSubject(workspace = command.workspace.text), "${command.digest} by ${command.operator}")
+    is WithdrawKey -> NoteEvent(EventKind.KEY_WITHDRAWN, EventSubject(), "${command.digest} by ${command.operator}")
+    is StartMove -> NoteEvent(EventKind.MOVE_STARTED, EventSubject(weights = command.to.text), "service ${command.service} by ${command.operator}")
+    is AdvanceMove -> moveEvent(command)
+    is ChangeLedger -> NoteEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "a death was charged").takeIf { outcome.quarantined.isNotEmpty() }
+    else -> null
+}
+
+private fun submissionEvent(command: SubmitConfiguration, outcome: Applied): NoteEvent? {
+    val judged = (outcome.result as? SubmissionJudged)?.outcome
+    val subject = EventSubject(configuration = command.follows + 1)
+    return when (judged) {
+        is SubmissionAccepted -> NoteEvent(EventKind.CONFIGURATION_ACCEPTED, subject, "by ${command.operator}, digest ${command.digest}")
+        is SubmissionRepeated -> null
+        else -> NoteEvent(EventKind.CONFIGURATION_REFUSED, subject, "by ${command.operator}, digest ${command.digest}")
+    }
+}
+
+private fun moveEvent(command: AdvanceMove): NoteEvent {
+    val kind = when (command.next.stage) {
+        MoveStage.DONE -> EventKind.MOVE_DONE
+        MoveStage.TAKING_BACK, MoveStage.TAKEN_BACK -> EventKind.MOVE_TAKEN_BACK
+        else -> EventKind.MOVE_WIDENED
+    }
+    val detail = "service ${command.next.service} ${command.next.stage} share ${command.next.share}: ${command.next.reason}"
+    return NoteEvent(kind, EventSubject(weights = command.next.to.text), detail)
+}
+
+/** What a caller is told about a call that the ledger says is running. */
+private fun DeskState.truthful(request: LedgerRequest, reply: LedgerReply, now: Moment): LedgerReply =
+    if (reply is CallIsRunning && request is BeginCall) answerFor(reply, isOwnerAlive(request, now)) else reply
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -0,0 +1,133 @@
+/**
+ * The state of the control duty: the agreed state, and what a leader knows beside it and may lose.
+ */
+package sniperoute.control.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import sniperoute.control.message.*
+import sniperoute.process.agreement.decision.Redundancy
+import sniperoute.process.agreement.message.Membership
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.Leases
+import sniperoute.version.decision.RouterName
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.WorkspaceName
+import kotlin.time.Duration
+
+/** What the agreement duty publishes of itself. [leaseEnd] is `null` unless this replica leads and may act on it. */
+public data class AgreementStatus(
+    public val self: VmName,
+    public val term: Long,
+    public val isLeader: Boolean,
+    public val leader: VmName?,
+    public val leaseEnd: Moment?,
+    public val committed: Long,
+    public val membership: Membership,
+    public val redundancy: Redundancy,
+    public val electionMaximum: Duration,
+)
+
+/** Who waits for a proposal. */
+public sealed interface Waiter
+
+/** A router that made [request] of the ledger. */
+public data class LedgerWaiter(public val to: ReplyAddress, public val request: LedgerRequest) : Waiter
+
+/** An operator. */
+public data class OperatorWaiter(public val wait: OperatorWait) : Waiter
+
+/** The routers whose tokens are in the command, in order. */
+public data class TokenWaiter(public val asks: PersistentList<TokenAsk>) : Waiter
+
+/** Nobody: the leader itself advances a move. */
+public data object NobodyWaits : Waiter
+
+/** A router's request for tokens. */
+public data class TokenAsk(public val to: ReplyAddress, public val workspace: WorkspaceName, public val tokens: Long)
+
+/** What evidence a step of a move began with, and when. */
+public data class MoveBaseline(public val share: Int, public val fence: Long, public val started: Moment, public val evidence: EvidenceTable)
+
+/** An order to an endpoint that was sent at [at]. */
+public data class SentOrder(public val weights: WeightsVersion, public val at: Moment)
+
+/** What a leader knows beside the agreed state. It may give orders to endpoints from [ordersFrom] on. */
+public data class Leadership(
+    public val term: Long,
+    public val ordersFrom: Moment,
+    public val leases: Leases,
+    public val links: PersistentMap<LinkNumber, RouterName>,
+    public val waiters: PersistentMap<Long, Waiter>,
+    public val asks: PersistentList<TokenAsk>,
+    public val returns: PersistentList<TokenAmount>,
+    public val isTokenCommandOpen: Boolean,
+    public val nextMark: Moment,
+    public val evidence: PersistentMap<RouterName, EvidenceTable>,
+    public val baselines: PersistentMap<ServiceName, MoveBaseline>,
+    public val openAdvances: PersistentSet<ServiceName>,
+    public val loaded: PersistentMap<EndpointName, WeightsVersion>,
+    public val orders: PersistentMap<EndpointName, SentOrder>,
+    public val reads: PersistentMap<EndpointName, Moment>,
+    public val reported: Long,
+)
+
+/** Everything that the control duty knows. */
+public data class DeskState(
+    public val applied: Long,
+    public val machine: ControlState,
+    public val leadership: Leadership?,
+    public val nextProposal: Long,
+    public val snapshotIndex: Long,
+)
+
+/** Returns the state of the control duty at start; [firstProposal] should be random, so that no two leaders use the same numbers. */
+public fun newDeskState(firstProposal: Long): DeskState = DeskState(0, newControlState(), null, firstProposal, 0)
+
+internal fun newLeadership(term: Long, now: Moment, electionMaximum: Duration, leases: Leases, reported: Long): Leadership = Leadership(
+    term = term,
+    ordersFrom = now + electionMaximum * 2,
+    leases = leases,
+    links = persistentMapOf(),
+    waiters = persistentMapOf(),
+    asks = persistentListOf(),
+    returns = persistentListOf(),
+    isTokenCommandOpen = false,
+    nextMark = now,
+    evidence = persistentMapOf(),
+    baselines = persistentMapOf(),
+    openAdvances = persistentSetOf(),
+    loaded = persistentMapOf(),
+    orders = persistentMapOf(),
+    reads = persistentMapOf(),
+    reported = reported,
+)
+
+/** A state and what was ordered on the way to it. */
+public data class DeskStep(public val state: DeskState, public val orders: PersistentList<DeskOrder> = persistentListOf())
+
+internal fun DeskState.unchanged(): DeskStep = DeskStep(this)
+
+internal fun DeskStep.order(order: DeskOrder): DeskStep = copy(orders = orders.add(order))
+
+internal fun DeskStep.then(step: (DeskState) -> DeskStep): DeskStep {
+    val next = step(state)
+    return DeskStep(next.state, orders.addAll(next.orders))
+}
+
+internal fun DeskState.lead(change: Leadership.() -> Leadership): DeskState = copy(leadership = leadership?.change())
+
+/** Whether this replica leads at [now], may act on it, and knows all that was committed. */
+internal fun DeskState.isLeading(status: AgreementStatus, now: Moment): Boolean {
+    val leaseEnd = status.leaseEnd ?: return false
+    return leadership != null && leadership.term == status.term && now < leaseEnd && applied >= status.committed
+}
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -0,0 +1,84 @@
+/**
+ * Commands that the control replicas agree on. Each carries the leader's time, so that every replica decides alike.
+ */
+package sniperoute.control.message
+
+import kotlinx.serialization.Serializable
+import sniperoute.process.clock.Moment
+import sniperoute.process.codec.ItemList
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.message.Declarations
+import sniperoute.version.message.KeyDigest
+import sniperoute.version.message.Move
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.WorkspaceName
+
+/** A command; [at] is the leader's time. */
+@Serializable
+public sealed interface Command {
+    public val at: Moment
+}
+
+/** Puts [declarations] in force as the configuration after [follows]. */
+@Serializable
+public data class SubmitConfiguration(
+    override val at: Moment,
+    public val follows: Long,
+    public val digest: String,
+    public val operator: String,
+    public val declarations: Declarations,
+) : Command
+
+/** Lets the key [digest] work for [workspace]. */
+@Serializable
+public data class GrantKey(
+    override val at: Moment,
+    public val digest: KeyDigest,
+    public val workspace: WorkspaceName,
+    public val operator: String,
+) : Command
+
+/** Stops the key [digest] from working, for good. */
+@Serializable
+public data class WithdrawKey(override val at: Moment, public val digest: KeyDigest, public val operator: String) : Command
+
+/** Tokens of a workspace. */
+@Serializable
+public data class TokenAmount(public val workspace: WorkspaceName, public val tokens: Long)
+
+/** Advances fleet time in [term], takes back what was not used, and hands out what was asked for. */
+@Serializable
+public data class ChangeTokens(
+    override val at: Moment,
+    public val term: Long,
+    public val returned: ItemList<TokenAmount>,
+    public val wanted: ItemList<TokenAmount>,
+) : Command
+
+/** A router's request of the once-only ledger, or its notice of a death. */
+@Serializable
+public data class ChangeLedger(override val at: Moment, public val request: LedgerRequest) : Command
+
+/** Lets a request that was held back run again. */
+@Serializable
+public data class PardonDigest(override val at: Moment, public val digest: RequestDigest, public val operator: String) : Command
+
+/** Starts a move of [service] to the weights [to]. */
+@Serializable
+public data class StartMove(
+    override val at: Moment,
+    public val service: ServiceName,
+    public val to: WeightsVersion,
+    public val deadlineMilliseconds: Long,
+    public val operator: String,
+) : Command
+
+/** Replaces [expected] by [next]; without effect when the move is not [expected] any more. */
+@Serializable
+public data class AdvanceMove(override val at: Moment, public val expected: Move, public val next: Move) : Command
+
+/** Takes the move of [service] back. */
+@Serializable
+public data class TakeBackMove(override val at: Moment, public val service: ServiceName, public val operator: String) : Command
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
@@ -0,0 +1,104 @@
+/**
+ * What the control duty takes in and orders. Links and waiting operators are known to it by number only.
+ */
+package sniperoute.control.message
+
+import kotlinx.collections.immutable.PersistentList
+import sniperoute.control.decision.CommandResult
+import sniperoute.process.agreement.message.LogEntry
+import sniperoute.process.agreement.message.Snapshot
+import sniperoute.process.identity.VmName
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
+import sniperoute.request.ledger.message.LedgerReply
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.decision.RouterName
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.SessionMessage
+import sniperoute.version.message.WeightsVersion
+
+/** The number of an open link to a router. */
+@JvmInline
+public value class LinkNumber(public val number: Long)
+
+/** The number of an operator's request that waits for its answer. */
+@JvmInline
+public value class OperatorWait(public val number: Long)
+
+/** Where a reply to a router goes. */
+public data class ReplyAddress(public val link: LinkNumber, public val correlation: Long)
+
+/** What the control duty takes in. */
+public sealed interface DeskInput
+
+/** The agreement committed [entries]. */
+public data class EntriesCommitted(public val entries: PersistentList<LogEntry>) : DeskInput
+
+/** The agreement replaced the state by [snapshot]'s. */
+public data class SnapshotRestored(public val snapshot: Snapshot) : DeskInput
+
+/** The agreement did not take [proposal]. */
+public data class ProposalRefused(public val proposal: Long, public val leader: VmName?) : DeskInput
+
+/** A router said something about its session. */
+public data class SessionReceived(
+    public val router: RouterName,
+    public val from: ReplyAddress,
+    public val message: SessionMessage,
+) : DeskInput
+
+/** A router asked the ledger. */
+public data class LedgerReceived(public val from: ReplyAddress, public val request: LedgerRequest) : DeskInput
+
+/** A router's link ended. */
+public data class RouterLinkClosed(public val link: LinkNumber) : DeskInput
+
+/** An operator wants [command] done. */
+public data class OperatorCommanded(public val wait: OperatorWait, public val command: Command) : DeskInput
+
+/** An endpoint said which weights it serves; `null` when it gave no answer. */
+public data class WeightsRead(public val endpoint: EndpointName, public val weights: WeightsVersion?) : DeskInput
+
+/** What the control duty orders. */
+public sealed interface DeskOrder
+
+/** Have [bytes] agreed on. */
+public class ProposeCommand(public val proposal: Long, public val bytes: ByteArray) : DeskOrder
+
+/** Reply to a router about its session. */
+public data class ReplySession(public val to: ReplyAddress, public val message: SessionMessage) : DeskOrder
+
+/** Reply to a router about the ledger. */
+public data class ReplyLedger(public val to: ReplyAddress, public val reply: LedgerReply) : DeskOrder
+
+/** Tell every router that [message] holds. */
+public data class NotifyRouters(public val links: PersistentList<LinkNumber>, public val message: SessionMessage) : DeskOrder
+
+/**
+ * Tell an operator what became of the command. Without [result] this replica does not lead, and [leader] may; when the
+ * command [mayHaveRun], it was handed to the agreement before leadership was lost.
+ */
+public data class AnswerOperator(
+    public val wait: OperatorWait,
+    public val result: CommandResult?,
+    public val leader: VmName?,
+    public val mayHaveRun: Boolean = false,
+) : DeskOrder
+
+/** Ask an endpoint at [host] and [port] which weights it serves. */
+public data class ReadWeights(public val endpoint: EndpointName, public val host: String, public val port: Int) : DeskOrder
+
+/** Order an endpoint to load [weights]; it must refuse when it has seen a fence above [fence]. */
+public data class OrderWeights(
+    public val endpoint: EndpointName,
+    public val host: String,
+    public val port: Int,
+    public val weights: WeightsVersion,
+    public val fence: Long,
+) : DeskOrder
+
+/** The state machine as of [index] is to be kept as a snapshot. */
+public class KeepSnapshot(public val index: Long, public val state: ByteArray) : DeskOrder
+
+/** Note an event in the time line. */
+public data class NoteEvent(public val kind: EventKind, public val subject: EventSubject, public val detail: String) : DeskOrder
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/OperatorPages.kt
@@ -0,0 +1,81 @@
+/**
+ * What operators' commands and the control replicas say to each other over HTTP, in JSON.
+ */
+package sniperoute.control.message
+
+import kotlinx.serialization.Serializable
+import sniperoute.process.codec.ItemList
+import sniperoute.version.message.Declarations
+import sniperoute.version.message.Move
+
+/** Wants [declarations] to follow the configuration [follows]. */
+@Serializable
+public data class SubmissionForm(public val follows: Long, public val digest: String, public val declarations: Declarations)
+
+/** What became of a submission: `accepted`, `repeated`, `lost` or `invalid`. */
+@Serializable
+public data class SubmissionReply(
+    public val outcome: String,
+    public val number: Long,
+    public val revision: Long,
+    public val winnerDigest: String? = null,
+    public val winnerOperator: String? = null,
+    public val current: Long? = null,
+    public val problems: ItemList<String>? = null,
+)
+
+/** A key to grant to [workspace] or to withdraw. */
+@Serializable
+public data class KeyForm(public val sha256: String, public val workspace: String? = null)
+
+/** A move to start. */
+@Serializable
+public data class MoveForm(public val service: String, public val to: String? = null, public val deadlineMilliseconds: Long? = null)
+
+/** A request's digest. */
+@Serializable
+public data class DigestForm(public val digest: String)
+
+/** A command took effect at [revision]. */
+@Serializable
+public data class EffectReply(public val revision: Long)
+
+/** How far a revision is in force. */
+@Serializable
+public data class ForceReply(
+    public val revision: Long,
+    public val confirmed: Int,
+    public val live: Int,
+    public val everywhere: Boolean,
+)
+
+/** A router as the leader knows it. */
+@Serializable
+public data class RouterView(public val vm: String, public val incarnation: String, public val revision: Long)
+
+/** A replica as the leader knows it. */
+@Serializable
+public data class ReplicaView(public val vm: String, public val disk: String, public val votes: Boolean)
+
+/** What a replica says of itself and, when it leads, of the fleet. */
+@Serializable
+public data class StatusReply(
+    public val vm: String,
+    public val leads: Boolean,
+    public val leader: String?,
+    public val term: Long,
+    public val committed: Long,
+    public val applied: Long,
+    public val redundancy: String,
+    public val configuration: Long,
+    public val digest: String?,
+    public val revision: Long,
+    public val replicas: ItemList<ReplicaView>,
+    public val routers: ItemList<RouterView>,
+    public val moves: ItemList<Move>,
+    public val quarantine: ItemList<String>,
+)
+
+/** What is declared and in force. */
+@Serializable
+public data class ConfigurationReply(public val number: Long, public val declarations: Declarations?)
--- /dev/null
+++ b/programs/publish/src/main/kotlin/sniperoute/publish/Differences.kt
@@ -0,0 +1,26 @@
+/**
+ * What a submission would change against what is in force.
+ */
+package sniperoute.publish
+
+import sniperoute.version.decision.toItems
+import sniperoute.version.message.Declarations
+import sniperoute.version.message.Item
+
+/** Returns one line for each item that [wanted] adds (`+`), removes (`-`) or changes (`~`) against [present]. */
+internal fun differences(present: Declarations, wanted: Declarations): List<String> {
+    val before = present.toItems().associateBy { it.name }
+    val after = wanted.toItems().associateBy { it.name }
+    return (before.keys + after.keys)
+        .sortedWith(compareBy({ it.kind }, { it.text }))
+        .mapNotNull { name -> describe(before[name], after[name]) }
+}
+
+private fun describe(before: Item?, after: Item?): String? = when {
+    before == after -> null
+    before == null && after != null -> "+ ${after.title()}  $after"
+    after == null && before != null -> "- ${before.title()}"
+    else -> "~ ${after?.title()}\n    from $before\n    to   $after"
+}
+
+private fun Item.title(): String = "${name.kind.name.lowercase()} ${name.text}"
--- /dev/null
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -0,0 +1,117 @@
+/**
+ * From a caller's HTTP request to a run: the key is recognised, the prompt is read, and what is wrong is refused with a
+ * clear error.
+ */
+package sniperoute.router
+
+import arrow.core.Either
+import arrow.core.raise.either
+import kotlinx.collections.immutable.persistentListOf
+import sniperoute.common.reply
+import sniperoute.connection.http.Exchange
+import sniperoute.connection.http.Header
+import sniperoute.connection.http.RequestHead
+import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.connection.http.valueOrNull
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Admission
+import sniperoute.request.admission.decision.Outcome
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.admission.decision.admit
+import sniperoute.request.ledger.message.LedgerKey
+import sniperoute.request.ledger.message.LedgerOwner
+import sniperoute.request.prefix.codec.Prompt
+import sniperoute.request.prefix.codec.readPrompt
+import sniperoute.request.prefix.decision.BYTES_PER_TOKEN
+import sniperoute.request.prefix.decision.contentHash
+import sniperoute.request.prefix.decision.prefixChain
+import sniperoute.request.prefix.decision.workspaceSalt
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.request.run.PassedRequest
+import sniperoute.request.run.RequestRun
+import sniperoute.request.run.RunOutlets
+import sniperoute.request.run.requestRun
+import sniperoute.version.codec.keyDigestOf
+import sniperoute.version.message.KeyDigest
+import sniperoute.version.message.Repetition
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.ServiceKind
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val BEARER = "Bearer "
+private const val LONGEST_IDEMPOTENCY_KEY = 200
+
+/** Who runs requests here: the parts of a ledger owner that all requests of this process share. */
+internal typealias OwnerOf = (RequestId) -> LedgerOwner
+
+/** Returns the run of [exchange], or why there is none. */
+internal fun runOf(
+    exchange: Exchange,
+    id: RequestId,
+    view: ServingView,
+    ownerOf: OwnerOf,
+    outlets: RunOutlets,
+    now: Moment,
+): Either<Refusal, RequestRun> = either {
+    val admission = view.admit(now, exchange.head.path, exchange.head.keyOrNull()).bind()
+    val prompt = promptOf(admission, exchange).bind()
+    val facts = factsOf(admission, exchange, prompt, id, now)
+    val passed = PassedRequest(
+        kind = admission.service.kind,
+        wantsStream = prompt.isStreamed,
+        cacheSalt = workspaceSalt(admission.workspace),
+        ledgerKey = ledgerKeyOrNull(admission, exchange.head).bind(),
+        owner = ownerOf(id),
+        configuration = view.catalogue.configuration,
+    )
+    requestRun(facts, passed, exchange, outlets)
+}
+
+private fun RequestHead.keyOrNull(): KeyDigest? {
+    val bearer = headers.valueOrNull("authorization")?.takeIf { it.startsWith(BEARER) }?.removePrefix(BEARER)
+    return (bearer ?: headers.valueOrNull("x-api-key"))?.let(::keyDigestOf)
+}
+
+private fun promptOf(admission: Admission, exchange: Exchange): Either<Refusal, Prompt> = when (admission.service.kind) {
+    ServiceKind.MODEL -> readPrompt(exchange.body).mapLeft { Refusal(RefusalKind.MALFORMED, it.reason) }
+    ServiceKind.PLAIN -> Either.Right(Prompt(exchange.body, 0, false))
+}
+
+private fun ledgerKeyOrNull(admission: Admission, head: RequestHead): Either<Refusal, LedgerKey?> = either {
+    val key = head.headers.valueOrNull("idempotency-key") ?: return@either null
+    if (admission.route.repetition != Repetition.ONCE_ONLY) return@either null
+    if (key.isEmpty() || key.length > LONGEST_IDEMPOTENCY_KEY) {
+        raise(Refusal(RefusalKind.MALFORMED, "an idempotency key has 1 to $LONGEST_IDEMPOTENCY_KEY characters"))
+    }
+    LedgerKey(admission.workspace, admission.route.name, key)
+}
+
+private fun factsOf(admission: Admission, exchange: Exchange, prompt: Prompt, id: RequestId, now: Moment): RequestFacts {
+    val salt = workspaceSalt(admission.workspace)
+    val content = contentHash(exchange.body)
+    val identity = "${admission.route.name}\n${exchange.head.method} ${exchange.head.path}?${exchange.head.query}\n$salt\n$content"
+    val second = contentHash(identity.toByteArray())
+    val isModel = admission.service.kind == ServiceKind.MODEL
+    return RequestFacts(
+        id = id,
+        workspace = admission.workspace,
+        key = admission.key,
+        route = admission.route,
+        digest = RequestDigest("%016x%016x".format(content, second)),
+        hash = contentHash(id.text.toByteArray()),
+        chain = if (isModel) prefixChain(salt, prompt.text) else persistentListOf(),
+        promptTokens = (prompt.text.size / BYTES_PER_TOKEN).toLong() + 1,
+        answerTokens = prompt.mostAnswerTokens,
+        arrived = now,
+        deadline = now + admission.route.deadlineMilliseconds.milliseconds,
+    )
+}
+
+/** Answers [exchange] with [refusal]. */
+internal fun Exchange.refuse(refusal: Refusal, id: RequestId) {
+    val more = persistentListOf(Header("x-request-id", id.text))
+    reply(errorAnswer(refusal.kind.status, refusal.kind.text, refusal.message, Outcome.NOT_RUN.text, more))
+}
--- /dev/null
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterSettings.kt
@@ -0,0 +1,80 @@
+/**
+ * Settings of a router.
+ */
+package sniperoute.router
+
+import kotlinx.collections.immutable.ImmutableList
+import sniperoute.common.ListenAddress
+import sniperoute.common.Location
+import sniperoute.common.Operator
+import sniperoute.common.controlPeers
+import sniperoute.common.listenAddress
+import sniperoute.common.location
+import sniperoute.common.operators
+import sniperoute.common.secretFile
+import sniperoute.common.tlsOrNull
+import sniperoute.connection.http.HttpLimits
+import sniperoute.connection.http.TlsFiles
+import sniperoute.connection.peer.PeerAddress
+import sniperoute.process.settings.ObjectReader
+import sniperoute.request.routing.decision.PlaceRequest
+import sniperoute.request.routing.decision.placementNamedOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The settings of one router. */
+public class RouterSettings(
+    public val location: Location,
+    public val callers: ListenAddress,
+    public val administration: ListenAddress,
+    public val tls: TlsFiles?,
+    public val replicas: ImmutableList<PeerAddress>,
+    public val secret: ByteArray,
+    public val operators: ImmutableList<Operator>,
+    public val threads: Int,
+    public val limits: HttpLimits,
+    public val placement: PlaceRequest,
+    public val platformList: ListenAddress?,
+    public val drain: Duration,
+    public val timelineEvents: Int,
+)
+
+private val THREAD_RANGE = 1L..64L
+private val HEADER_RANGE = 1_024L..1_048_576L
+private val BODY_RANGE = 1_024L..268_435_456L
+private val DRAIN_RANGE = 0L..3_600_000L
+private val TIMELINE_RANGE = 100L..1_000_000L
+private const val DEFAULT_TIMELINE = 20_000L
+private const val DEFAULT_PLACEMENT = "soonest-token"
+
+/** Reads the settings of a router. */
+internal fun ObjectReader.routerSettings(): RouterSettings {
+    val defaults = HttpLimits()
+    return RouterSettings(
+        location = location(),
+        callers = listenAddress("callers"),
+        administration = listenAddress("administration"),
+        tls = tlsOrNull("tls"),
+        replicas = controlPeers(),
+        secret = secretFile("secretFile"),
+        operators = operators(),
+        threads = whole("threads", THREAD_RANGE, default = 2).toInt(),
+        limits = objectOrNull("limits") {
+            defaults.copy(
+                headerBytes = whole("headerBytes", HEADER_RANGE, defaults.headerBytes.toLong()).toInt(),
+                bodyBytes = whole("bodyBytes", BODY_RANGE, defaults.bodyBytes.toLong()).toInt(),
+            )
+        } ?: defaults,
+        placement = placement(),
+        platformList = objectOrNull("platformList") { ListenAddress(text("host"), whole("port", 1L..65_535L).toInt()) },
+        drain = milliseconds("drainMilliseconds", DRAIN_RANGE, 30.seconds),
+        timelineEvents = whole("timelineEvents", TIMELINE_RANGE, DEFAULT_TIMELINE).toInt(),
+    )
+}
+
+private fun ObjectReader.placement(): PlaceRequest {
+    val name = text("placement", default = DEFAULT_PLACEMENT)
+    val policy = placementNamedOrNull(name)
+    if (policy == null) note("placement", "there is no policy \"$name\"", "soonest-token, round-robin, least-load or prefix-hash")
+    return policy ?: checkNotNull(placementNamedOrNull(DEFAULT_PLACEMENT))
+}
--- /dev/null
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -0,0 +1,132 @@
+/**
+ * The session duty: owns the session with the control replicas, and carries out its orders over the links.
+ */
+package sniperoute.router
+
+import sniperoute.connection.peer.PeerHandlers
+import sniperoute.connection.peer.PeerLink
+import sniperoute.connection.peer.message.Envelope
+import sniperoute.connection.peer.message.EnvelopeChannel
+import sniperoute.process.clock.Clock
+import sniperoute.process.duty.Duty
+import sniperoute.process.duty.DutyFailure
+import sniperoute.process.duty.startStateDuty
+import sniperoute.process.identity.VmName
+import sniperoute.process.ring.Ring
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.ledger.codec.decodeLedgerReply
+import sniperoute.request.ledger.codec.encode
+import sniperoute.request.ledger.message.LedgerNotHere
+import sniperoute.request.ledger.message.LedgerReply
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.request.routing.message.RoutingInput
+import sniperoute.request.routing.message.ViewChanged
+import sniperoute.router.decision.ControlSession
+import sniperoute.router.decision.step
+import sniperoute.router.message.*
+import sniperoute.version.codec.decodeSessionMessage
+import sniperoute.version.codec.encode
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
+
+private val TICK = 50.milliseconds
+
+/** The session as the rest of the router sees it. */
+internal class SessionDuty(
+    private val inbox: Ring<SessionInput>,
+    private val routing: Ring<RoutingInput>,
+    private val recorder: Recorder,
+    private val onView: (ServingView) -> Unit,
+) {
+    /** What may be served now. */
+    val view = AtomicReference<ServingView>()
+    private val links = ConcurrentHashMap<VmName, PeerLink>()
+    private val waiting = ConcurrentHashMap<LedgerWait, (LedgerReply) -> Unit>()
+    private val lastWait = AtomicLong()
+
+    /** Asks the ledger; a ring that is full answers for it that nothing was asked. */
+    fun askLedger(request: LedgerRequest, isLasting: Boolean, onReply: (LedgerReply) -> Unit) {
+        val wait = LedgerWait(lastWait.incrementAndGet())
+        waiting[wait] = onReply
+        if (!inbox.offer(LedgerAsked(wait, request, isLasting))) waiting.remove(wait)?.invoke(LedgerNotHere)
+    }
+
+    /** Handlers of the links to the control replicas. */
+    fun handlers(): PeerHandlers = PeerHandlers(
+        opened = { link ->
+            links[link.peer.vm] = link
+            inbox.put(LinkOpened(link.peer.vm))
+            recorder.record(EventKind.PEER_CONNECTED, detail = "replica ${link.peer.vm}")
+        },
+        received = ::received,
+        closed = { link, reason ->
+            links.remove(link.peer.vm, link)
+            inbox.put(LinkClosed(link.peer.vm))
+            recorder.record(EventKind.PEER_LOST, detail = "replica ${link.peer.vm}: $reason")
+        },
+        refused = { recorder.record(EventKind.PEER_REFUSED, detail = it.reason) },
+    )
+
+    private fun received(link: PeerLink, envelope: Envelope) {
+        recorder.witness(envelope.stamp)
+        val input = inputOrNull(link, envelope)
+        if (input == null) {
+            recorder.record(EventKind.PEER_REFUSED, detail = "${link.peer.vm} sent a message that can't be read")
+            link.close()
+        } else {
+            inbox.put(input)
+        }
+    }
+
+    private fun inputOrNull(link: PeerLink, envelope: Envelope): SessionInput? = when (envelope.channel) {
+        EnvelopeChannel.SESSION ->
+            decodeSessionMessage(envelope.body).getOrNull()?.let { SessionSaid(link.peer.vm, envelope.correlation, it) }
+        EnvelopeChannel.LEDGER ->
+            decodeLedgerReply(envelope.body).getOrNull()?.let { LedgerSaid(link.peer.vm, envelope.correlation, it) }
+        EnvelopeChannel.AGREEMENT -> null
+    }
+
+    fun carryOut(order: SessionOrder) {
+        when (order) {
+            is SendSession -> send(order.replica, EnvelopeChannel.SESSION, order.correlation, order.message.encode())
+            is SendLedger -> send(order.replica, EnvelopeChannel.LEDGER, order.correlation, order.request.encode())
+            is ServeBy -> serveBy(order.view)
+            is HandTokens -> routing.put(order.grant)
+            is AnswerLedger -> waiting.remove(order.wait)?.invoke(order.reply)
+            is LeaseRanOut -> recorder.record(EventKind.LEASE_LOST, detail = "keyed requests are refused until it is renewed")
+            is CameInForce -> recorder.record(
+                EventKind.CONFIGURATION_IN_FORCE,
+                EventSubject(configuration = order.configuration),
+                "revision ${order.revision}",
+            )
+        }
+    }
+
+    private fun serveBy(newView: ServingView) {
+        view.set(newView)
+        routing.put(ViewChanged(newView))
+        onView(newView)
+    }
+
+    private fun send(replica: VmName, channel: EnvelopeChannel, correlation: Long, body: ByteArray) {
+        links[replica]?.send(Envelope(channel, correlation, recorder.stamp(), body))
+    }
+}
+
+/** Returns the duty that owns [initial]. */
+internal fun startSessionDuty(
+    inbox: Ring<SessionInput>,
+    initial: ControlSession,
+    session: SessionDuty,
+    clock: Clock,
+    onFailure: DutyFailure,
+): Duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
+    val step = state.step(now, input)
+    step.orders.forEach(session::carryOut)
+    step.session
+}
--- /dev/null
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -0,0 +1,195 @@
+/**
+ * A router's session with the control replicas: it finds the leader, renews the lease, keeps the catalogue up to date, and
+ * carries questions about tokens and the ledger. A question is asked again when its answer is late; all of them can be.
+ */
+package sniperoute.router.decision
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.admission.decision.isReady
+import sniperoute.request.ledger.message.LedgerNotHere
+import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.request.routing.message.TokensGranted
+import sniperoute.router.message.*
+import sniperoute.version.decision.advance
+import sniperoute.version.decision.emptyCatalogue
+import sniperoute.version.message.*
+import kotlin.time.Duration.Companion.milliseconds
+
+private val RENEW_INTERVAL = 500.milliseconds
+private val ANSWER_PATIENCE = 400.milliseconds
+private val LEDGER_PATIENCE = 3_000.milliseconds
+private val LEASE_MARGIN = 100.milliseconds
+
+/** A renewal that was sent and not answered. */
+public data class OpenRenewal(public val correlation: Long, public val sent: Moment)
+
+/** A question to the ledger that is not answered; it was [asked] first and last [sent] under [correlation]. */
+public data class OpenQuestion(
+    public val request: LedgerRequest,
+    public val isLasting: Boolean,
+    public val asked: Moment,
+    public val sent: Moment,
+    public val correlation: Long,
+)
+
+/** Everything that the session duty knows. [target] is the replica that is taken for the leader. */
+public data class ControlSession(
+    public val replicas: PersistentList<VmName>,
+    public val linked: PersistentSet<VmName>,
+    public val target: VmName,
+    public val view: ServingView,
+    public val renewal: OpenRenewal?,
+    public val nextRenewal: Moment,
+    public val questions: PersistentMap<LedgerWait, OpenQuestion>,
+    public val evidence: ImmutableList<RouteEvidence>,
+    public val nextCorrelation: Long,
+    public val isLeaseKnownLost: Boolean,
+)
+
+/** Returns the session of a router that has just started; it knows [replicas] and nothing else. */
+public fun newControlSession(replicas: PersistentList<VmName>, now: Moment): ControlSession {
+    require(replicas.isNotEmpty()) { "a router needs at least one control replica" }
+    return ControlSession(
+        replicas = replicas,
+        linked = persistentSetOf(),
+        target = replicas.first(),
+        view = ServingView(emptyCatalogue(), Moment.EARLIEST),
+        renewal = null,
+        nextRenewal = now,
+        questions = persistentMapOf(),
+        evidence = persistentListOf(),
+        nextCorrelation = 1,
+        isLeaseKnownLost = true,
+    )
+}
+
+/** A session and what was ordered on the way to it. */
+public data class SessionStep(public val session: ControlSession, public val orders: PersistentList<SessionOrder> = persistentListOf())
+
+private fun ControlSession.unchanged(): SessionStep = SessionStep(this)
+
+private fun SessionStep.order(order: SessionOrder): SessionStep = copy(orders = orders.add(order))
+
+private fun SessionStep.then(step: (ControlSession) -> SessionStep): SessionStep {
+    val next = step(session)
+    return SessionStep(next.session, orders.addAll(next.orders))
+}
+
+/** Returns the next state and the orders for [input] at [now]; no input means that time has passed. */
+public fun ControlSession.step(now: Moment, input: SessionInput?): SessionStep = when (input) {
+    null -> onTime(now)
+    is LinkOpened -> copy(linked = linked.add(input.replica)).onLinked(input.replica, now)
+    is LinkClosed -> copy(linked = linked.remove(input.replica)).turnFrom(input.replica, null, now)
+    is SessionSaid -> onSession(input, now)
+    is LedgerSaid -> onLedger(input, now)
+    is TokensWanted -> unchanged().order(SendSession(target, 0, input.message))
+    is LedgerAsked -> onAsked(input, now)
+    is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
+}
+
+private fun ControlSession.onLinked(replica: VmName, now: Moment): SessionStep =
+    if (renewal == null && (target == replica || target !in linked)) copy(target = replica).renew(now) else unchanged()
+
+private fun ControlSession.renew(now: Moment): SessionStep {
+    if (target !in linked) return unchanged()
+    val next = copy(
+        renewal = OpenRenewal(nextCorrelation, now),
+        nextRenewal = now + RENEW_INTERVAL,
+        nextCorrelation = nextCorrelation + 1,
+    )
+    return next.unchanged().order(SendSession(target, nextCorrelation, RenewRequest(view.catalogue.revision, evidence)))
+}
+
+private fun ControlSession.onTime(now: Moment): SessionStep {
+    val late = renewal?.let { now - it.sent > ANSWER_PATIENCE } ?: false
+    val turned = if (late || target !in linked) turnFrom(target, null, now) else unchanged()
+    return turned
+        .then { if (it.renewal == null && now >= it.nextRenewal) it.renew(now) else it.unchanged() }
+        .then { it.askAgain(now) }
+        .then { it.checkLease(now) }
+}
+
+/** Turns to [leader], or to the next linked replica, when [replica] was taken for the leader and is not. */
+private fun ControlSession.turnFrom(replica: VmName, leader: VmName?, now: Moment): SessionStep {
+    if (replica != target) return unchanged()
+    val next = leader?.takeIf { it in linked && it != replica } ?: nextLinkedOrNull() ?: return copy(renewal = null).unchanged()
+    val isNew = next != target
+    return copy(target = next, renewal = null, nextRenewal = if (isNew) now else now + TURN_PAUSE).unchanged()
+}
+
+private val TURN_PAUSE = 50.milliseconds
+
+private fun ControlSession.nextLinkedOrNull(): VmName? {
+    val start = replicas.indexOf(target) + 1
+    return (replicas.drop(start) + replicas.take(start)).firstOrNull { it in linked }
+}
+
+private fun ControlSession.checkLease(now: Moment): SessionStep = when {
+    view.isReady(now) -> copy(isLeaseKnownLost = false).unchanged()
+    isLeaseKnownLost -> unchanged()
+    else -> copy(isLeaseKnownLost = true).unchanged().order(LeaseRanOut)
+}
+
+private fun ControlSession.onSession(input: SessionSaid, now: Moment): SessionStep = when (val message = input.message) {
+    is RenewReply -> onRenewed(input, message)
+    is NotLeader -> turnFrom(input.replica, message.leader, now).then { it.renewSoon(now) }
+    is ChangeNotice -> if (message.revision > view.catalogue.revision && renewal == null) renew(now) else copy(nextRenewal = now).unchanged()
+    is TokenGrant -> unchanged().order(
+        HandTokens(TokensGranted(message.workspace, message.tokens, message.retryMilliseconds.milliseconds)),
+    )
+    else -> unchanged()
+}
+
+private fun ControlSession.renewSoon(now: Moment): SessionStep =
+    if (renewal == null && now >= nextRenewal) renew(now) else unchanged()
+
+/** The lease counts from when the renewal was sent, so that the leader's idea of its end is never the earlier one. */
+private fun ControlSession.onRenewed(input: SessionSaid, reply: RenewReply): SessionStep {
+    val open = renewal ?: return unchanged()
+    if (open.correlation != input.correlation || reply.revision < view.catalogue.revision) return unchanged()
+    val leaseEnd = open.sent + reply.leaseMilliseconds.milliseconds - LEASE_MARGIN
+    val isChanged = reply.revision > view.catalogue.revision
+    val newView = ServingView(view.catalogue.advance(reply), maxOf(view.leaseEnd, leaseEnd))
+    val nextDue = if (isChanged) open.sent else nextRenewal
+    val served = copy(view = newView, renewal = null, nextRenewal = nextDue, isLeaseKnownLost = false)
+        .unchanged()
+        .order(ServeBy(newView))
+    return if (isChanged) served.order(CameInForce(reply.revision, reply.configuration)) else served
+}
+
+private fun ControlSession.onAsked(input: LedgerAsked, now: Moment): SessionStep {
+    val question = OpenQuestion(input.request, input.isLasting, now, now, nextCorrelation)
+    return copy(questions = questions.put(input.wait, question), nextCorrelation = nextCorrelation + 1)
+        .unchanged()
+        .order(SendLedger(target, question.correlation, input.request))
+}
+
+private fun ControlSession.onLedger(input: LedgerSaid, now: Moment): SessionStep {
+    val wait = questions.entries.firstOrNull { it.value.correlation == input.correlation }?.key ?: return unchanged()
+    if (input.reply is LedgerNotHere) return turnFrom(input.replica, null, now)
+    return copy(questions = questions.remove(wait)).unchanged().order(AnswerLedger(wait, input.reply))
+}
+
+private fun ControlSession.askAgain(now: Moment): SessionStep =
+    questions.entries.fold(unchanged()) { step, (wait, question) -> step.then { it.askAgain(wait, question, now) } }
+
+private fun ControlSession.askAgain(wait: LedgerWait, question: OpenQuestion, now: Moment): SessionStep = when {
+    !question.isLasting && now - question.asked > LEDGER_PATIENCE ->
+        copy(questions = questions.remove(wait)).unchanged().order(AnswerLedger(wait, LedgerNotHere))
+    now - question.sent > ANSWER_PATIENCE -> {
+        val again = question.copy(sent = now, correlation = nextCorrelation)
+        copy(questions = questions.put(wait, again), nextCorrelation = nextCorrelation + 1)
+            .unchanged()
+            .order(SendLedger(target, again.correlation, question.request))
+    }
+    else -> unchanged()
+}
--- /dev/null
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/PlainServices.kt
@@ -0,0 +1,98 @@
+/**
+ * The stand-in plain service: some calls may not be repeated, and it counts how often each ran. Also the stand-in for the
+ * platform's list of VMs.
+ */
+package sniperoute.standin
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import sniperoute.common.reply
+import sniperoute.connection.http.AnswerHead
+import sniperoute.connection.http.Exchange
+import sniperoute.connection.http.Header
+import sniperoute.connection.http.HttpStatus
+import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.connection.http.codec.jsonAnswer
+import sniperoute.connection.http.valueOrNull
+import sniperoute.standin.engine.codec.CountsPage
+import sniperoute.standin.engine.codec.FaultSwitches
+import sniperoute.standin.engine.codec.standinJson
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+/** A plain service whose calls take [delayMilliseconds]. */
+public class PlainService internal constructor(private val delayMilliseconds: Long) {
+    private val calls = AtomicReference(persistentMapOf<String, Long>())
+    private val faults = AtomicReference(FaultSwitches())
+    private val keysSeen = AtomicLong()
+    private val later = Executors.newSingleThreadScheduledExecutor(sniperoute.process.duty.namedThreads("service"))
+
+    /** Answers [exchange]; each POST runs the call that its body names, and counts it. */
+    public fun handle(exchange: Exchange) {
+        val head = exchange.head
+        if (head.headers.any { it.name == "authorization" || it.name == "x-api-key" }) keysSeen.incrementAndGet()
+        when {
+            head.path == "/faults" -> {
+                faults.set(standinJson.decodeFromString(FaultSwitches.serializer(), exchange.body.decodeToString()))
+                exchange.reply(jsonAnswer(HttpStatus.OK, "{}"))
+            }
+            head.path == "/counts" -> exchange.reply(counts())
+            else -> run(exchange)
+        }
+    }
+
+    private fun run(exchange: Exchange) {
+        val name = exchange.body.decodeToString()
+        val count = calls.updateAndGet { it.put(name, (it[name] ?: 0) + 1) }.getValue(name)
+        when {
+            faults.get().silentConnections -> Unit
+            faults.get().breakStreamsAfter > 0 -> exchange.abort()
+            delayMilliseconds == 0L -> confirm(exchange, count)
+            else -> later.schedule({ confirm(exchange, count) }, delayMilliseconds, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun confirm(exchange: Exchange, count: Long) {
+        val id = Header("x-request-id", exchange.head.headers.valueOrNull("x-request-id").orEmpty())
+        val headers = persistentListOf(Header("content-type", "application/json"), id)
+        exchange.answer(AnswerHead(HttpStatus.OK, headers), "{\"ran\":$count}".toByteArray())
+    }
+
+    private fun counts() =
+        jsonAnswer(HttpStatus.OK, standinJson.encodeToString(CountsPage.serializer(), CountsPage(0, 0, 0, keysSeen.get(), calls.get())))
+}
+
+/** Returns a plain service whose calls take [delayMilliseconds]. */
+public fun plainService(delayMilliseconds: Long): PlainService = PlainService(delayMilliseconds)
+
+@Serializable
+private data class VmPage(val endpoint: String, val state: String)
+
+@Serializable
+private data class VmList(val vms: List<VmPage>)
+
+/** The platform's list of VMs. */
+public class PlatformPages internal constructor() {
+    private val states = AtomicReference<PersistentMap<String, String>>(persistentMapOf())
+
+    /** Answers [exchange]; a POST sets the state of one VM. */
+    public fun handle(exchange: Exchange): Unit = when {
+        exchange.head.path != "/vms" -> exchange.reply(errorAnswer(HttpStatus.NOT_FOUND, "unknown_page", "only /vms is here", "not-run"))
+        exchange.head.method == "POST" -> {
+            val page = standinJson.decodeFromString(VmPage.serializer(), exchange.body.decodeToString())
+            states.updateAndGet { it.put(page.endpoint, page.state) }
+            exchange.reply(jsonAnswer(HttpStatus.OK, "{}"))
+        }
+        else -> {
+            val list = VmList(states.get().map { (endpoint, state) -> VmPage(endpoint, state) })
+            exchange.reply(jsonAnswer(HttpStatus.OK, standinJson.encodeToString(VmList.serializer(), list)))
+        }
+    }
+}
+
+/** Returns a platform that lists no VM yet. */
+public fun platformPages(): PlatformPages = PlatformPages()
--- /dev/null
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/StandinPrograms.kt
@@ -0,0 +1,81 @@
+/**
+ * `sniperoute-standin`: a small stand-in for an outside system, to try the router out and to test it: an engine, a plain
+ * service, or the platform's list of VMs.
+ */
+package sniperoute.standin
+
+import sniperoute.common.ListenAddress
+import sniperoute.common.NAME_FORM
+import sniperoute.common.awaitStop
+import sniperoute.common.failTogether
+import sniperoute.common.listenAddress
+import sniperoute.common.serverSettings
+import sniperoute.connection.http.HandleExchange
+import sniperoute.connection.http.serve
+import sniperoute.connection.http.startHttpThreads
+import sniperoute.process.clock.systemClock
+import sniperoute.process.settings.ObjectReader
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.startRecorder
+import sniperoute.standin.engine.decision.EngineProfile
+import sniperoute.standin.engine.startEngineServer
+import sniperoute.version.message.WeightsVersion
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+private enum class StandinKind(val text: String) {
+    ENGINE("engine"),
+    SERVICE("service"),
+    PLATFORM("platform"),
+}
+
+private class StandinSettings(
+    val kind: StandinKind,
+    val listen: ListenAddress,
+    val weights: WeightsVersion,
+    val profile: EngineProfile,
+    val callMilliseconds: Long,
+)
+
+private val COUNT_RANGE = 1L..1_000_000L
+private val TIME_RANGE = 0L..1_000_000L
+private val DEFAULT_PROFILE = EngineProfile(
+    slots = 16,
+    cachePieces = 200,
+    promptTokenCost = 25.microseconds,
+    answerTokenCost = 10.milliseconds,
+    fullBatchSlowdown = 1.0,
+    loadTime = 500.milliseconds,
+)
+
+private fun ObjectReader.standinSettings(): StandinSettings = StandinSettings(
+    kind = choice("kind", StandinKind.entries) { it.text },
+    listen = listenAddress("listen"),
+    weights = WeightsVersion(text("weights", default = "v1", form = NAME_FORM)),
+    profile = objectOrNull("profile") { profile() } ?: DEFAULT_PROFILE,
+    callMilliseconds = whole("callMilliseconds", TIME_RANGE, default = 0),
+)
+
+private fun ObjectReader.profile(): EngineProfile = DEFAULT_PROFILE.copy(
+    slots = whole("slots", COUNT_RANGE, DEFAULT_PROFILE.slots.toLong()).toInt(),
+    cachePieces = whole("cachePieces", COUNT_RANGE, DEFAULT_PROFILE.cachePieces.toLong()).toInt(),
+    promptTokenCost = whole("promptTokenMicroseconds", TIME_RANGE, DEFAULT_PROFILE.promptTokenCost.inWholeMicroseconds).microseconds,
+    answerTokenCost = whole("answerTokenMicroseconds", TIME_RANGE, DEFAULT_PROFILE.answerTokenCost.inWholeMicroseconds).microseconds,
+    loadTime = milliseconds("loadMilliseconds", TIME_RANGE, DEFAULT_PROFILE.loadTime),
+)
+
+/** Runs a stand-in until it is stopped. */
+public fun main(arguments: Array<String>) {
+    val settings = serverSettings("sniperoute-standin", arguments) { standinSettings() }
+    val clock = systemClock()
+    val recorder = startRecorder("standin", clock, capacity = 1_000)
+    val handle: HandleExchange = when (settings.kind) {
+        StandinKind.ENGINE -> startEngineServer(settings.profile, settings.weights, clock, failTogether(recorder))::handle
+        StandinKind.SERVICE -> plainService(settings.callMilliseconds)::handle
+        StandinKind.PLATFORM -> platformPages()::handle
+    }
+    val threads = startHttpThreads(1)
+    val server = threads.serve(settings.listen.host, settings.listen.port, handle = handle)
+    recorder.record(EventKind.PROCESS_READY, detail = "${settings.kind.text} on port ${server.port}")
+    awaitStop { threads.close() }
+}
--- /dev/null
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/engine/codec/EnginePages.kt
@@ -0,0 +1,110 @@
+/**
+ * The JSON of the stand-in engine, in the common form of completion interfaces, and of its fault switches.
+ */
+package sniperoute.standin.engine.codec
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import kotlinx.serialization.json.addJsonObject
+import sniperoute.standin.engine.decision.EngineJob
+
+/** The JSON of all stand-in pages. */
+public val standinJson: Json = Json {
+    encodeDefaults = true
+    explicitNulls = false
+    ignoreUnknownKeys = true
+}
+
+/** Faults that can be switched on while the stand-in runs. Shares are in thousandths. */
+@Serializable
+public data class FaultSwitches(
+    public val silentConnections: Boolean = false,
+    public val crossedAnswers: Boolean = false,
+    public val malformedStream: Boolean = false,
+    public val failShare: Int = 0,
+    public val breakStreamsAfter: Long = 0,
+    public val eventLossShare: Int = 0,
+    public val eventDelayMilliseconds: Long = 0,
+    public val slowness: Double = 1.0,
+    public val slowWeights: String = "",
+    public val failingWeights: String = "",
+    public val ignoresFence: Boolean = false,
+    public val leaving: Boolean = false,
+    public val killingText: String = "",
+)
+
+/** An order to load weights. */
+@Serializable
+public data class WeightsOrder(public val weights: String, public val fence: Long)
+
+/** The weights that are served, and the largest fence that was seen. */
+@Serializable
+public data class WeightsPage(public val weights: String, public val fence: Long)
+
+/** An event of the engine. */
+@Serializable
+public data class PublishedEvent(
+    public val sequence: Long,
+    public val incarnation: String,
+    public val weights: String,
+    public val running: Int,
+    public val waitingTokens: Long,
+    public val leaving: Boolean,
+    public val stored: List<Long>,
+    public val removed: List<Long>,
+)
+
+/** What the stand-in counted, for tests. */
+@Serializable
+public data class CountsPage(
+    public val requests: Long,
+    public val promptTokens: Long,
+    public val cachedTokens: Long,
+    public val keysSeen: Long,
+    public val calls: Map<String, Long>,
+)
+
+/** Returns one event of a streamed answer, with its number. */
+public fun streamEvent(requestId: String, number: Long, job: EngineJob, isLast: Boolean): String {
+    val chunk = buildJsonObject {
+        put("id", requestId)
+        put("object", "chat.completion.chunk")
+        putJsonArray("choices") {
+            addJsonObject {
+                put("index", 0)
+                putJsonObject("delta") { put("content", " w$number") }
+                if (isLast) put("finish_reason", "stop")
+            }
+        }
+        if (isLast) put("usage", usageOf(job))
+    }
+    val end = if (isLast) "data: [DONE]\n\n" else ""
+    return "id: $number\ndata: $chunk\n\n$end"
+}
+
+/** Returns a whole answer. */
+public fun wholeAnswer(requestId: String, job: EngineJob): String = buildJsonObject {
+    put("id", requestId)
+    put("object", "chat.completion")
+    putJsonArray("choices") {
+        addJsonObject {
+            put("index", 0)
+            putJsonObject("message") {
+                put("role", "assistant")
+                put("content", (1..job.answerTokens).joinToString("") { " w$it" })
+            }
+            put("finish_reason", "stop")
+        }
+    }
+    put("usage", usageOf(job))
+}.toString()
+
+private fun usageOf(job: EngineJob) = buildJsonObject {
+    put("prompt_tokens", job.promptTokens)
+    put("completion_tokens", job.answerTokens)
+    putJsonObject("prompt_tokens_details") { put("cached_tokens", job.cachedTokens) }
+}
--- /dev/null
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Traces.kt
@@ -0,0 +1,116 @@
+/**
+ * Traces of load: requests of several workspaces in time, drawn with one seed, so that every policy gets the same ones.
+ */
+package sniperoute.standin.trial
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+import sniperoute.common.NAME_FORM
+import sniperoute.process.settings.ObjectReader
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+import kotlin.time.times
+
+/** What a request of the trace is. */
+public enum class TraceKind { DRAFT, STATUS, CONFIRMATION }
+
+/** One request: it is sent at [at] from the start; its prompt is made of the nested parts [levels]. */
+public data class TraceRequest(
+    public val at: Duration,
+    public val workspace: String,
+    public val kind: TraceKind,
+    public val levels: ImmutableList<String>,
+    public val number: Int,
+)
+
+/** How a workspace behaves: its [key], its drafts and status checks a second, its handbooks. */
+public data class TraceWorkspace(
+    public val name: String,
+    public val key: String,
+    public val draftsPerSecond: Double,
+    public val statusesPerSecond: Double,
+    public val confirmationsPerSecond: Double,
+    public val handbooks: Int,
+)
+
+/** The shape of a trace. Sizes of prompt levels are in bytes. */
+public data class TraceShape(
+    public val seed: Long,
+    public val length: Duration,
+    public val workspaces: ImmutableList<TraceWorkspace>,
+    public val handbookBytes: Int,
+    public val chapterBytes: Int,
+    public val chapters: Int,
+    public val questionBytes: Int,
+    public val hotShare: Double,
+    public val shiftEvery: Duration,
+)
+
+private const val THOUSANDTHS = 1_000.0
+private val RATE_RANGE = 0L..10_000_000L
+private val SIZE_RANGE = 1L..10_000_000L
+
+internal fun ObjectReader.traceShape(): TraceShape = TraceShape(
+    seed = whole("seed", 0L..Long.MAX_VALUE),
+    length = milliseconds("lengthMilliseconds", SIZE_RANGE),
+    workspaces = objects("workspaces") { traceWorkspace() },
+    handbookBytes = whole("handbookBytes", SIZE_RANGE, 48_000).toInt(),
+    chapterBytes = whole("chapterBytes", SIZE_RANGE, 24_000).toInt(),
+    chapters = whole("chapters", SIZE_RANGE, 6).toInt(),
+    questionBytes = whole("questionBytes", SIZE_RANGE, 2_000).toInt(),
+    hotShare = whole("hotThousandths", 0L..1_000L, 500) / THOUSANDTHS,
+    shiftEvery = milliseconds("shiftMilliseconds", SIZE_RANGE, 10_000.milliseconds),
+)
+
+private fun ObjectReader.traceWorkspace() = TraceWorkspace(
+    name = text("name", form = NAME_FORM),
+    key = text("key"),
+    draftsPerSecond = whole("draftsPerThousandSeconds", RATE_RANGE) / THOUSANDTHS,
+    statusesPerSecond = whole("statusesPerThousandSeconds", RATE_RANGE, 0) / THOUSANDTHS,
+    confirmationsPerSecond = whole("confirmationsPerThousandSeconds", RATE_RANGE, 0) / THOUSANDTHS,
+    handbooks = whole("handbooks", SIZE_RANGE, 1).toInt(),
+)
+
+/** Returns the requests of [shape] in order of time. */
+public fun traceOf(shape: TraceShape): List<TraceRequest> =
+    shape.workspaces
+        .flatMapIndexed { position, workspace -> requestsOf(shape, workspace, Random(shape.seed * SEED_FACTOR + position)) }
+        .sortedBy { it.at }
+        .mapIndexed { number, request -> request.copy(number = number) }
+
+private const val SEED_FACTOR = 1_009
+
+private fun requestsOf(shape: TraceShape, workspace: TraceWorkspace, random: Random): List<TraceRequest> {
+    val drafts = arrivals(workspace.draftsPerSecond, shape.length, random).map { draft(shape, workspace, it, random) }
+    val statuses = arrivals(workspace.statusesPerSecond, shape.length, random).map { plain(workspace, it, TraceKind.STATUS) }
+    val confirmations = arrivals(workspace.confirmationsPerSecond, shape.length, random).map { plain(workspace, it, TraceKind.CONFIRMATION) }
+    return drafts + statuses + confirmations
+}
+
+private fun plain(workspace: TraceWorkspace, at: Duration, kind: TraceKind) =
+    TraceRequest(at, workspace.name, kind, emptyList<String>().toImmutableList(), 0)
+
+/** Arrivals of a Poisson process. */
+private fun arrivals(perSecond: Double, length: Duration, random: Random): List<Duration> {
+    if (perSecond <= 0.0) return emptyList()
+    return generateSequence(gap(perSecond, random)) { it + gap(perSecond, random) }.takeWhile { it < length }.toList()
+}
+
+private fun gap(perSecond: Double, random: Random): Duration = -ln(1.0 - random.nextDouble()) / perSecond * 1_000.milliseconds
+
+/** A prompt of nested levels: a handbook, one of its chapters, and a question of its own. Which handbook is hot shifts with time. */
+private fun draft(shape: TraceShape, workspace: TraceWorkspace, at: Duration, random: Random): TraceRequest {
+    val period = (at.toDouble(DurationUnit.MILLISECONDS) / shape.shiftEvery.toDouble(DurationUnit.MILLISECONDS)).toInt()
+    val isHot = random.nextDouble() < shape.hotShare
+    val handbook = if (isHot) period % workspace.handbooks else random.nextInt(workspace.handbooks)
+    val chapter = if (isHot) period % shape.chapters else random.nextInt(shape.chapters)
+    val levels = listOf(
+        textOf("${workspace.name} handbook $handbook", shape.handbookBytes),
+        textOf("${workspace.name} handbook $handbook chapter $chapter", shape.chapterBytes),
+        textOf("question ${random.nextLong()}", shape.questionBytes),
+    )
+    return TraceRequest(at, workspace.name, TraceKind.DRAFT, levels.toImmutableList(), 0)
+}
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
@@ -0,0 +1,43 @@
+/**
+ * Admission: which workspace a request belongs to and which route it takes, by what is in force.
+ */
+package sniperoute.request.admission.decision
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import sniperoute.process.clock.Moment
+import sniperoute.version.decision.Catalogue
+import sniperoute.version.decision.routeOrNull
+import sniperoute.version.message.KeyDigest
+import sniperoute.version.message.Route
+import sniperoute.version.message.Service
+import sniperoute.version.message.WorkspaceName
+
+/** What a router may serve by: a catalogue, until its lease ends. */
+public data class ServingView(public val catalogue: Catalogue, public val leaseEnd: Moment)
+
+/** Whether requests may be served at [now]. */
+public fun ServingView.isReady(now: Moment): Boolean = now < leaseEnd
+
+/** What a request turned out to be. */
+public data class Admission(
+    public val workspace: WorkspaceName?,
+    public val key: KeyDigest?,
+    public val route: Route,
+    public val service: Service,
+)
+
+/** Returns what a request for [path] with [key] is, or why it is refused at [now]. */
+public fun ServingView.admit(now: Moment, path: String, key: KeyDigest?): Either<Refusal, Admission> = either {
+    ensure(isReady(now)) { Refusal(RefusalKind.NOT_READY, "this router has no lease from the control replicas") }
+    val route = ensureNotNull(catalogue.routeOrNull(path)) { Refusal(RefusalKind.UNKNOWN_ROUTE, "no route for $path") }
+    val service = ensureNotNull(catalogue.services[route.service]) {
+        Refusal(RefusalKind.NO_ENDPOINT, "service ${route.service} is not in force")
+    }
+    if (route.isOpen) return@either Admission(null, null, route, service)
+    ensureNotNull(key) { Refusal(RefusalKind.NO_KEY, "send the workspace's key as a bearer token") }
+    val holder = ensureNotNull(catalogue.keys[key]) { Refusal(RefusalKind.UNKNOWN_KEY, "the key is not known or was withdrawn") }
+    Admission(holder.workspace, key, route, service)
+}
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Refusals.kt
@@ -0,0 +1,45 @@
+/**
+ * Refusals: why a request was not served, and whether it ran.
+ */
+package sniperoute.request.admission.decision
+
+import kotlin.time.Duration
+
+/** Whether a request ran. */
+public enum class Outcome(public val text: String) {
+    /** No endpoint began to work on it, and none will. */
+    NOT_RUN("not-run"),
+
+    /** It was handed to an endpoint, and what became of it there is not known. */
+    MAY_HAVE_RUN("may-have-run"),
+
+    /** An endpoint answered it. */
+    RAN("ran"),
+}
+
+/** Why a request is refused; [status] is the usual HTTP status. */
+@Suppress("MagicNumber")
+public enum class RefusalKind(public val status: Int, public val text: String) {
+    MALFORMED(400, "malformed_request"),
+    NO_KEY(401, "no_key"),
+    UNKNOWN_KEY(401, "unknown_key"),
+    UNKNOWN_ROUTE(404, "unknown_route"),
+    RUNNING_ALREADY(409, "running_already"),
+    UNKNOWN_OUTCOME(409, "unknown_outcome"),
+    KEY_REUSED(422, "idempotency_key_reused"),
+    QUARANTINED(422, "quarantined"),
+    OVER_RATE(429, "over_rate"),
+    ENDPOINT_FAILED(502, "endpoint_failed"),
+    NOT_READY(503, "not_ready"),
+    OVERLOADED(503, "overloaded"),
+    NO_ENDPOINT(503, "no_endpoint"),
+    DEADLINE(504, "deadline_passed"),
+}
+
+/** A refusal; callers may try again after [retryAfter]. */
+public data class Refusal(
+    public val kind: RefusalKind,
+    public val message: String,
+    public val outcome: Outcome = Outcome.NOT_RUN,
+    public val retryAfter: Duration? = null,
+)
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/CacheKnowledge.kt
@@ -0,0 +1,71 @@
+/**
+ * What a router believes the engines' caches hold. It is a hint: a wrong one costs time, never correctness, since engines keep
+ * entries apart by workspace and weights themselves. Entries belong to one run of one engine and go with it.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import sniperoute.process.clock.Moment
+import sniperoute.request.prefix.decision.cacheKey
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.WeightsVersion
+import kotlin.time.Duration.Companion.seconds
+
+/** How long entries from before a gap in an engine's events are still believed. */
+private val BELIEF_AFTER_GAP = 5.seconds
+
+/** The most entries kept; when there are more, the oldest quarter goes. */
+private const val MOST_ENTRIES = 200_000
+private const val TRIM_SHARE = 4
+
+/** Which engines hold which piece, and since when that is known; and each engine's last gap. */
+public data class CacheKnowledge(
+    public val holders: PersistentMap<Long, PersistentMap<EndpointName, Moment>>,
+    public val gaps: PersistentMap<EndpointName, Moment>,
+)
+
+/** Returns no knowledge. */
+public fun noCacheKnowledge(): CacheKnowledge = CacheKnowledge(persistentMapOf(), persistentMapOf())
+
+/** Returns the knowledge after [endpoint] was found at [now] to hold the pieces [keys]. */
+public fun CacheKnowledge.learn(endpoint: EndpointName, keys: List<Long>, now: Moment): CacheKnowledge {
+    val changed = holders.builder()
+    keys.forEach { key -> changed[key] = (changed[key] ?: persistentMapOf()).put(endpoint, now) }
+    return copy(holders = changed.build()).trimmed()
+}
+
+/** Returns the knowledge after [endpoint] was found not to hold the pieces [keys] any more. */
+public fun CacheKnowledge.unlearn(endpoint: EndpointName, keys: List<Long>): CacheKnowledge {
+    val changed = holders.builder()
+    keys.forEach { key ->
+        val rest = changed[key]?.remove(endpoint)
+        if (rest.isNullOrEmpty()) changed.remove(key) else changed[key] = rest
+    }
+    return copy(holders = changed.build())
+}
+
+/** Returns the knowledge after [endpoint] came back empty, or was lost. */
+public fun CacheKnowledge.forget(endpoint: EndpointName): CacheKnowledge =
+    unlearn(endpoint, holders.filterValues { endpoint in it }.keys.toList()).copy(gaps = gaps.remove(endpoint))
+
+/** Returns the knowledge after events of [endpoint] were lost: what is known from before is believed for a while only. */
+public fun CacheKnowledge.noteGap(endpoint: EndpointName, now: Moment): CacheKnowledge = copy(gaps = gaps.put(endpoint, now))
+
+/** Returns how many leading pieces of [chain] the engine [endpoint] with [weights] is believed to hold at [now]. */
+public fun CacheKnowledge.heldPieces(chain: List<Long>, weights: WeightsVersion, endpoint: EndpointName, now: Moment): Int {
+    val gap = gaps[endpoint]
+    val oldest = if (gap != null && now - gap > BELIEF_AFTER_GAP) gap else Moment.EARLIEST
+    return chain.indexOfFirst { link ->
+        val known = holders[cacheKey(link, weights)]?.get(endpoint)
+        known == null || known < oldest
+    }.let { if (it < 0) chain.size else it }
+}
+
+private fun CacheKnowledge.trimmed(): CacheKnowledge {
+    if (holders.size <= MOST_ENTRIES) return this
+    val oldest = holders.entries.sortedBy { (_, known) -> known.values.max() }.take(MOST_ENTRIES / TRIM_SHARE)
+    val kept = holders.builder()
+    oldest.forEach { kept.remove(it.key) }
+    return copy(holders = kept.build())
+}
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -0,0 +1,117 @@
+/**
+ * What a router knows of each endpoint: whether it may get work, what this router has there, and what it reported.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import sniperoute.process.clock.Moment
+import sniperoute.request.routing.message.RequestId
+import sniperoute.version.message.Endpoint
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.ServiceKind
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.WeightsVersion
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A request of this router at an endpoint; [missedTokens] are to be computed before its first token. */
+public data class OwnWork(
+    public val digest: RequestDigest,
+    public val missedTokens: Long,
+    public val hasBegun: Boolean,
+    public val isSuspect: Boolean,
+)
+
+/** What an engine reported at [at]: requests in work, and prompt tokens that wait to be computed. */
+public data class LoadReport(public val at: Moment, public val running: Int, public val waitingTokens: Long, public val ownRunning: Int)
+
+/** A request that broke at an endpoint. */
+public data class BrokenWork(public val digest: RequestDigest, public val at: Moment)
+
+/** An endpoint as this router knows it. [incarnation] and [weights] are its own word; `null` is not known. */
+public data class EndpointState(
+    public val endpoint: Endpoint,
+    public val service: ServiceName,
+    public val kind: ServiceKind,
+    public val incarnation: String? = null,
+    public val weights: WeightsVersion? = null,
+    public val isLeaving: Boolean = false,
+    public val downUntil: Moment = Moment.EARLIEST,
+    public val failures: Int = 0,
+    public val own: PersistentMap<RequestId, OwnWork> = persistentMapOf(),
+    public val report: LoadReport? = null,
+    public val broken: PersistentList<BrokenWork> = persistentListOf(),
+    public val diedAt: Moment = Moment.EARLIEST,
+    public val tokenCost: Duration = FIRST_TOKEN_COST,
+)
+
+/** The time to compute one prompt token, before any answer shows it. */
+public val FIRST_TOKEN_COST: Duration = 100.milliseconds / 1_000
+
+private val SHORTEST_DOWN = 250.milliseconds
+private val LONGEST_DOWN = 4.seconds
+private val DEATH_WINDOW = 2.seconds
+private val REPORT_LIFE = 2.seconds
+private const val MOST_DOUBLINGS = 4
+private const val COST_WEIGHT = 0.1
+
+/** Whether new work may go here at [now], slots aside. */
+public fun EndpointState.isUsable(now: Moment): Boolean = !isLeaving && now >= downUntil
+
+/** Returns the slots that are free, by own work and by what others had there at the last report. */
+public fun EndpointState.freeSlots(now: Moment): Int = endpoint.slots - own.size - othersRunning(now)
+
+private fun EndpointState.othersRunning(now: Moment): Int =
+    report?.takeIf { now - it.at < REPORT_LIFE }?.let { (it.running - it.ownRunning).coerceAtLeast(0) } ?: 0
+
+/** Returns the prompt tokens that stand before a new request here. */
+public fun EndpointState.waitingTokens(now: Moment): Long {
+    val ours = own.values.filter { !it.hasBegun }.sumOf { it.missedTokens }
+    val others = report?.takeIf { now - it.at < REPORT_LIFE && it.running > it.ownRunning }?.waitingTokens ?: 0
+    return ours + others
+}
+
+/** Returns the endpoint after [work] was sent to it. */
+public fun EndpointState.began(id: RequestId, work: OwnWork): EndpointState = copy(own = own.put(id, work))
+
+/** Returns the endpoint after the first token of a request came, [firstToken] after it was sent. */
+public fun EndpointState.answered(id: RequestId, firstToken: Duration): EndpointState {
+    val work = own[id] ?: return this
+    val begun = copy(own = own.put(id, work.copy(hasBegun = true)), failures = 0)
+    if (work.missedTokens < SMALLEST_SAMPLE_TOKENS) return begun
+    val sample = firstToken / work.missedTokens.toDouble()
+    return begun.copy(tokenCost = tokenCost * (1 - COST_WEIGHT) + sample * COST_WEIGHT)
+}
+
+private const val SMALLEST_SAMPLE_TOKENS = 1_000L
+
+/** Returns the endpoint without the request [id]. */
+public fun EndpointState.finished(id: RequestId): EndpointState = copy(own = own.remove(id))
+
+/** Returns the endpoint after a call failed at [now]; it rests, longer with each failure in a row. */
+public fun EndpointState.failed(now: Moment): EndpointState {
+    val rest = SHORTEST_DOWN * (1 shl minOf(failures, MOST_DOUBLINGS))
+    return copy(failures = failures + 1, downUntil = now + minOf(rest, LONGEST_DOWN))
+}
+
+/** Returns the endpoint after work with [digest] broke at [now]. */
+public fun EndpointState.broke(digest: RequestDigest, now: Moment): EndpointState =
+    copy(broken = broken.removeAll { now - it.at > DEATH_WINDOW }.add(BrokenWork(digest, now)))
+
+/** Whether the endpoint died so recently that work breaking at [now] is charged with it. */
+public fun EndpointState.isDyingAt(now: Moment): Boolean = now - diedAt < DEATH_WINDOW
+
+/** Returns the digests that broke shortly before [now]. */
+public fun EndpointState.recentlyBroken(now: Moment): List<RequestDigest> =
+    broken.filter { now - it.at <= DEATH_WINDOW }.map { it.digest }.distinct()
+
+/** Returns the endpoint after it was found dead at [now]. */
+public fun EndpointState.died(now: Moment): EndpointState = copy(diedAt = now, broken = broken.clear())
+
+/** Returns the endpoint after it reported itself as [newIncarnation] with [newWeights]. */
+public fun EndpointState.identified(newIncarnation: String, newWeights: WeightsVersion?): EndpointState =
+    copy(incarnation = newIncarnation, weights = newWeights, downUntil = Moment.EARLIEST, failures = 0)
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -0,0 +1,239 @@
+/**
+ * The step of the routing duty: one pure function from a state and an input to the next state and to orders.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.admission.decision.isReady
+import sniperoute.request.routing.message.*
+import sniperoute.version.decision.EvidenceKey
+import sniperoute.version.decision.EvidenceSum
+import sniperoute.version.decision.addAnswer
+import sniperoute.version.decision.addFailure
+import sniperoute.version.decision.noEvidence
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.Repetition
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.Service
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.DurationUnit
+
+private const val MOST_ATTEMPTS = 4
+private val SUSPICION_LIFE = 10.minutes
+private val DEADLINE_CHECK_INTERVAL: Duration = 50.milliseconds
+
+/** Returns the next state and the orders for [input] at [now]; no input means that time has passed. */
+public fun RoutingState.step(place: PlaceRequest, now: Moment, input: RoutingInput?): RoutingStep = when (input) {
+    null -> onTime(place, now)
+    is Arrived -> onArrived(input.facts, place, now)
+    is Cancelled -> onCancelled(input.id, place, now)
+    is FirstTokenCame -> onFirstToken(input, now).unchanged()
+    is AttemptEnded -> onAttemptEnded(input, place, now)
+    is ViewChanged -> onViewChanged(input.view, place, now)
+    is TokensGranted -> onTokens(input, place, now)
+    is EndpointReported -> onReported(input, place, now)
+    is CacheChanged -> onCacheChanged(input, now).unchanged()
+    is EndpointStreamLost -> onDeath(input.endpoint, now)
+    is PlatformListed -> onPlatformListed(input).unchanged()
+}
+
+private fun RoutingState.onTime(place: PlaceRequest, now: Moment): RoutingStep {
+    val checked = if (now - deadlinesChecked >= DEADLINE_CHECK_INTERVAL) {
+        copy(deadlinesChecked = now, suspects = suspects.withoutOlder(now)).refuseWaiting(now).then { it.balanceAll(now) }
+    } else {
+        unchanged()
+    }
+    return checked.then { it.drainAll(place, now) }
+}
+
+private fun kotlinx.collections.immutable.PersistentMap<RequestDigest, Moment>.withoutOlder(now: Moment) =
+    entries.filter { now - it.value > SUSPICION_LIFE }.fold(this) { all, old -> all.remove(old.key) }
+
+private fun RoutingState.balanceAll(now: Moment): RoutingStep =
+    tokens.pools.keys.fold(unchanged()) { step, workspace -> step.then { it.balance(workspace, now) } }
+
+private fun RoutingState.drainAll(place: PlaceRequest, now: Moment): RoutingStep =
+    queues.keys.fold(unchanged()) { step, service -> step.then { it.drain(service, place, now) } }
+
+private fun RoutingState.onArrived(facts: RequestFacts, place: PlaceRequest, now: Moment): RoutingStep {
+    if (facts.digest in view.catalogue.quarantine) return unchanged().order(Refuse(facts.id, quarantined()))
+    if (!view.isReady(now)) {
+        return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.NOT_READY, "this router has no lease")))
+    }
+    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
+    if (workspace != null && facts.tokens > workspace.burstTokens) {
+        val message = "the request may use ${facts.tokens} tokens, more than the burst of ${workspace.burstTokens}"
+        return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.OVER_RATE, message)))
+    }
+    val waiting = Waiting(facts, workspace?.tokensPerSecond ?: 1)
+    val queue = queueOf(facts.route.service).addOrNull(waiting)
+        ?: return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.OVERLOADED, "too many requests wait", retryAfter = RETRY_SOON)))
+    return copy(queues = queues.put(facts.route.service, queue), budget = budget.earn()).drain(facts.route.service, place, now)
+}
+
+private val RETRY_SOON = 1_000.milliseconds
+
+private fun RoutingState.onCancelled(id: RequestId, place: PlaceRequest, now: Moment): RoutingStep {
+    val run = running[id]
+    val service = run?.facts?.route?.service
+    val next = copy(
+        running = running.remove(id),
+        retries = retries.remove(id),
+        queues = queues.mapValuesWithout(id),
+    ).let { state -> if (run == null) state else state.withEndpoint(run.endpoint) { it.finished(id) } }
+    return if (service == null) next.unchanged() else next.drain(service, place, now)
+}
+
+private fun kotlinx.collections.immutable.PersistentMap<sniperoute.version.message.ServiceName, FairQueue>.mapValuesWithout(id: RequestId) =
+    entries.fold(this) { all, (service, queue) ->
+        if (queue.all().any { it.facts.id == id }) all.put(service, queue.without(setOf(id))) else all
+    }
+
+private fun RoutingState.onFirstToken(input: FirstTokenCame, now: Moment): RoutingState {
+    val run = running[input.id] ?: return this
+    return withEndpoint(run.endpoint) { it.answered(input.id, input.after) }
+        .addEvidence(run) { it.addAnswer((now - run.started).toDouble(DurationUnit.MILLISECONDS)) }
+}
+
+private fun RoutingState.addEvidence(run: RunningRequest, change: (EvidenceSum) -> EvidenceSum): RoutingState {
+    val weights = run.weights ?: return this
+    val key = EvidenceKey(run.facts.route.service, run.facts.route.name, weights)
+    return copy(evidence = evidence.put(key, change(evidence[key] ?: noEvidence())))
+}
+
+private fun RoutingState.onAttemptEnded(input: AttemptEnded, place: PlaceRequest, now: Moment): RoutingStep {
+    val run = running[input.id] ?: return unchanged()
+    val ended = copy(running = running.remove(input.id)).withEndpoint(run.endpoint) { it.finished(input.id) }
+    val next = when (val result = input.result) {
+        is Answered -> ended.onAnswered(run, result, now).unchanged()
+        is Unanswered -> ended.onUnanswered(run, result, now)
+    }
+    return next.then { it.drain(run.facts.route.service, place, now) }
+}
+
+private fun RoutingState.onAnswered(run: RunningRequest, result: Answered, now: Moment): RoutingState {
+    val settled = copy(retries = retries.remove(run.facts.id)).settle(run, result, now)
+    val judged = if (result.isFault) settled.addEvidence(run) { it.addFailure() } else settled
+    return judged.correctKnowledge(run, result, now)
+}
+
+private fun RoutingState.settle(run: RunningRequest, result: Answered, now: Moment): RoutingState {
+    val workspace = run.facts.workspace ?: return this
+    val used = (result.promptTokens ?: return this) + (result.answerTokens ?: 0)
+    return copy(tokens = tokens.settle(workspace, run.facts.tokens - used, now))
+}
+
+/** An engine that computed more than was expected does not hold what it was believed to hold, except what it computed now. */
+private fun RoutingState.correctKnowledge(run: RunningRequest, result: Answered, now: Moment): RoutingState {
+    val weights = run.weights ?: return this
+    if (result.cachedTokens == null || run.facts.chain.isEmpty()) return this
+    return copy(knowledge = knowledge.learn(run.endpoint, run.facts.chain.cacheKeys(weights), now))
+}
+
+private fun RoutingState.onUnanswered(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep =
+    noteFailure(run, result, now).then { it.retryOrGiveUp(run, result, now) }
+
+private fun RoutingState.noteFailure(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
+    val isCertain = result.reach == Reach.NOT_RUN || result.reach == Reach.REJECTED
+    val judged = if (isCertain) this else addEvidence(run) { it.addFailure() }
+    val endpoint = endpoints[run.endpoint] ?: return judged.unchanged()
+    return when (result.reach) {
+        Reach.NOT_RUN -> judged.onDeath(run.endpoint, now)
+        Reach.REJECTED -> judged.withEndpoint(run.endpoint) { it.failed(now) }.unchanged()
+        Reach.BROKEN -> judged.onBroken(endpoint, run.facts.digest, now)
+        Reach.SILENT -> judged.unchanged()
+        Reach.WRONG -> judged.unchanged()
+    }
+}
+
+private fun RoutingState.onBroken(endpoint: EndpointState, digest: RequestDigest, now: Moment): RoutingStep {
+    val name = endpoint.endpoint.name
+    val rested = withEndpoint(name) { it.failed(now) }
+    return if (endpoint.isDyingAt(now)) rested.charge(endpoint, listOf(digest), now) else rested.withEndpoint(name) { it.broke(digest, now) }.unchanged()
+}
+
+/** An endpoint was found dead: what broke there shortly before is suspected of it. */
+private fun RoutingState.onDeath(name: EndpointName, now: Moment): RoutingStep {
+    val endpoint = endpoints[name] ?: return unchanged()
+    val forgotten = copy(knowledge = knowledge.forget(name)).withEndpoint(name) { it.failed(now).died(now) }
+    return forgotten.charge(endpoint, endpoint.recentlyBroken(now), now)
+}
+
+private fun RoutingState.charge(endpoint: EndpointState, digests: List<RequestDigest>, now: Moment): RoutingStep {
+    if (digests.isEmpty()) return unchanged()
+    val report = ReportDeath(endpoint.endpoint.name, endpoint.incarnation.orEmpty(), digests.toPersistentList())
+    return copy(suspects = digests.fold(suspects) { all, digest -> all.put(digest, now) }).unchanged().order(report)
+}
+
+private fun RoutingState.retryOrGiveUp(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
+    val id = run.facts.id
+    val isFree = result.reach == Reach.NOT_RUN || result.reach == Reach.REJECTED
+    val isAllowed = isFree || (result.mayRepeat && run.facts.route.repetition == Repetition.REPEATABLE)
+    val isSecondDeath = result.reach == Reach.BROKEN && retries[id]?.let { run.facts.digest in suspects } ?: false
+    val spent = if (isFree) budget else budget.spendOrNull(now)
+    val mayTry = isAllowed && !isSecondDeath && run.attempt < MOST_ATTEMPTS && now < run.facts.deadline
+    if (!mayTry || spent == null) return copy(retries = retries.remove(id)).unchanged().order(GiveUp(id, result.reason))
+    val failedAt = (retries[id]?.failedAt ?: noFailures()).add(run.endpoint)
+    val weights = if (isFree && retries[id] == null) null else run.weights
+    val note = RetryNote(run.attempt, failedAt, weights)
+    val service = run.facts.route.service
+    val queue = queueOf(service).addFirst(Waiting(run.facts, 1))
+    return copy(budget = spent, retries = retries.put(id, note), queues = queues.put(service, queue)).unchanged()
+}
+
+private fun RoutingState.onViewChanged(newView: ServingView, place: PlaceRequest, now: Moment): RoutingStep {
+    val changed = newView.catalogue.revision != view.catalogue.revision
+    val next = copy(view = newView)
+    if (!changed) return next.drainAll(place, now)
+    return next.withDeclaredEndpoints().refuseWaiting(now).then { it.drainAll(place, now) }
+}
+
+private fun RoutingState.withDeclaredEndpoints(): RoutingState {
+    val declared = view.catalogue.services.values.flatMap { service -> service.endpoints.map { service to it } }
+    val kept = declared.fold(endpoints.clear()) { all, (service, endpoint) ->
+        all.put(endpoint.name, endpoints[endpoint.name]?.redeclared(service, endpoint) ?: newEndpoint(service, endpoint))
+    }
+    val gone = endpoints.keys.filter { it !in kept }
+    return copy(endpoints = kept, knowledge = gone.fold(knowledge, CacheKnowledge::forget))
+}
+
+private fun newEndpoint(service: Service, endpoint: sniperoute.version.message.Endpoint): EndpointState =
+    EndpointState(endpoint, service.name, service.kind)
+
+private fun EndpointState.redeclared(service: Service, declared: sniperoute.version.message.Endpoint): EndpointState =
+    copy(endpoint = declared, service = service.name, kind = service.kind)
+
+private fun RoutingState.onTokens(input: TokensGranted, place: PlaceRequest, now: Moment): RoutingStep =
+    copy(tokens = tokens.granted(input.workspace, input.tokens, input.retryAfter, now)).drainAll(place, now)
+
+private fun RoutingState.onReported(input: EndpointReported, place: PlaceRequest, now: Moment): RoutingStep {
+    val known = endpoints[input.endpoint] ?: return unchanged()
+    val isRestarted = known.incarnation != null && known.incarnation != input.incarnation
+    val isMoved = known.weights != null && known.weights != input.weights
+    val current = if (isRestarted) onDeath(input.endpoint, now) else unchanged()
+    return current.then { state ->
+        val cleared = if (isMoved) state.copy(knowledge = state.knowledge.forget(input.endpoint)) else state
+        cleared.withEndpoint(input.endpoint) { endpoint ->
+            endpoint.identified(input.incarnation, input.weights).copy(
+                isLeaving = input.isLeaving,
+                report = LoadReport(now, input.running, input.waitingTokens, endpoint.own.size),
+            )
+        }.drain(known.service, place, now)
+    }
+}
+
+private fun RoutingState.onCacheChanged(input: CacheChanged, now: Moment): RoutingState {
+    val known = endpoints[input.endpoint] ?: return this
+    if (known.incarnation != null && known.incarnation != input.incarnation) return this
+    val gapNoted = if (input.hasGap) knowledge.noteGap(input.endpoint, now) else knowledge
+    return copy(knowledge = gapNoted.unlearn(input.endpoint, input.removed).learn(input.endpoint, input.added, now))
+}
+
+private fun RoutingState.onPlatformListed(input: PlatformListed): RoutingState =
+    input.leaving.fold(this) { state, name -> state.withEndpoint(name) { it.copy(isLeaving = true) } }
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -0,0 +1,92 @@
+/**
+ * The state of the routing duty.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.request.routing.message.RoutingOrder
+import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.emptyCatalogue
+import sniperoute.version.decision.noEvidenceTable
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.WeightsVersion
+
+/** A request that is in work at [endpoint], in its attempt number [attempt]. */
+public data class RunningRequest(
+    public val facts: RequestFacts,
+    public val endpoint: EndpointName,
+    public val weights: WeightsVersion?,
+    public val attempt: Int,
+    public val started: Moment,
+)
+
+/** What is kept of a request that waits for another attempt: where it failed, and the weights it began with. */
+public data class RetryNote(
+    public val attempts: Int,
+    public val failedAt: PersistentSet<EndpointName>,
+    public val weights: WeightsVersion?,
+)
+
+/** Everything that the routing duty knows. */
+public data class RoutingState(
+    public val view: ServingView,
+    public val endpoints: PersistentMap<EndpointName, EndpointState>,
+    public val knowledge: CacheKnowledge,
+    public val queues: PersistentMap<ServiceName, FairQueue>,
+    public val tokens: TokenPools,
+    public val running: PersistentMap<RequestId, RunningRequest>,
+    public val retries: PersistentMap<RequestId, RetryNote>,
+    public val budget: RetryBudget,
+    public val suspects: PersistentMap<RequestDigest, Moment>,
+    public val evidence: EvidenceTable,
+    public val sequence: Long,
+    public val deadlinesChecked: Moment,
+)
+
+/** Returns the state of a router that has just started at [now]. */
+public fun newRoutingState(now: Moment): RoutingState = RoutingState(
+    view = ServingView(emptyCatalogue(), Moment.EARLIEST),
+    endpoints = persistentMapOf(),
+    knowledge = noCacheKnowledge(),
+    queues = persistentMapOf(),
+    tokens = noTokenPools(),
+    running = persistentMapOf(),
+    retries = persistentMapOf(),
+    budget = fullRetryBudget(now),
+    suspects = persistentMapOf(),
+    evidence = noEvidenceTable(),
+    sequence = 0,
+    deadlinesChecked = now,
+)
+
+/** A state and what was ordered on the way to it. */
+public data class RoutingStep(public val state: RoutingState, public val orders: PersistentList<RoutingOrder> = persistentListOf())
+
+internal fun RoutingState.unchanged(): RoutingStep = RoutingStep(this)
+
+internal fun RoutingStep.order(order: RoutingOrder): RoutingStep = copy(orders = orders.add(order))
+
+internal fun RoutingStep.then(step: (RoutingState) -> RoutingStep): RoutingStep {
+    val next = step(state)
+    return RoutingStep(next.state, orders.addAll(next.orders))
+}
+
+internal fun RoutingState.withEndpoint(name: EndpointName, change: (EndpointState) -> EndpointState): RoutingState {
+    val endpoint = endpoints[name] ?: return this
+    return copy(endpoints = endpoints.put(name, change(endpoint)))
+}
+
+internal fun RoutingState.queueOf(service: ServiceName): FairQueue = queues[service] ?: emptyFairQueue()
+
+internal fun noFailures(): PersistentSet<EndpointName> = persistentSetOf()
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -0,0 +1,125 @@
+/**
+ * What the routing duty takes in, and what it orders.
+ */
+package sniperoute.request.routing.message
+
+import kotlinx.collections.immutable.PersistentList
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.ServingView
+import sniperoute.version.message.Endpoint
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.WorkspaceName
+import kotlin.time.Duration
+
+/** What the routing duty takes in. */
+public sealed interface RoutingInput
+
+/** A request was admitted. */
+public data class Arrived(public val facts: RequestFacts) : RoutingInput
+
+/** The caller of a request went away, or its deadline passed while it was in work. */
+public data class Cancelled(public val id: RequestId) : RoutingInput
+
+/** The first part of an answer came. */
+public data class FirstTokenCame(public val id: RequestId, public val after: Duration) : RoutingInput
+
+/** An attempt ended. */
+public data class AttemptEnded(public val id: RequestId, public val result: AttemptResult) : RoutingInput
+
+/** What is in force, or the lease, changed. */
+public data class ViewChanged(public val view: ServingView) : RoutingInput
+
+/** The control replicas granted tokens. */
+public data class TokensGranted(public val workspace: WorkspaceName, public val tokens: Long, public val retryAfter: Duration) :
+    RoutingInput
+
+/** An engine said who it is and what it works on. */
+public data class EndpointReported(
+    public val endpoint: EndpointName,
+    public val incarnation: String,
+    public val weights: WeightsVersion?,
+    public val running: Int,
+    public val waitingTokens: Long,
+    public val isLeaving: Boolean,
+) : RoutingInput
+
+/** An engine said what came into its cache and what left it; [hasGap] when earlier events were lost. */
+public data class CacheChanged(
+    public val endpoint: EndpointName,
+    public val incarnation: String,
+    public val added: PersistentList<Long>,
+    public val removed: PersistentList<Long>,
+    public val hasGap: Boolean,
+) : RoutingInput
+
+/** An engine's event stream ended. */
+public data class EndpointStreamLost(public val endpoint: EndpointName) : RoutingInput
+
+/** The platform lists these endpoints' VMs as leaving. */
+public data class PlatformListed(public val leaving: PersistentList<EndpointName>) : RoutingInput
+
+/** How an attempt ended. */
+public sealed interface AttemptResult
+
+/** The endpoint answered; token counts are its own, where it gave any. [isFault] tells an answer that speaks against its version. */
+public data class Answered(
+    public val promptTokens: Long?,
+    public val cachedTokens: Long?,
+    public val answerTokens: Long?,
+    public val isFault: Boolean,
+) : AttemptResult
+
+/** How far an attempt went that was not answered. */
+public enum class Reach {
+    /** No connection: nothing was written to the endpoint. */
+    NOT_RUN,
+
+    /** The endpoint said that it did not run the request. */
+    REJECTED,
+
+    /** The connection ended without an answer, as when the endpoint dies. */
+    BROKEN,
+
+    /** The connection went silent. */
+    SILENT,
+
+    /** The endpoint answered something that is no answer to the request. */
+    WRONG,
+}
+
+/** The attempt was not answered; [mayRepeat] says whether the request may go to an endpoint again. */
+public data class Unanswered(public val reach: Reach, public val mayRepeat: Boolean, public val reason: String) : AttemptResult
+
+/** What the routing duty orders. */
+public sealed interface RoutingOrder
+
+/** Send the request to [endpoint]. */
+public data class Dispatch(
+    public val id: RequestId,
+    public val endpoint: Endpoint,
+    public val weights: WeightsVersion?,
+    public val attempt: Int,
+    public val isFresh: Boolean,
+) : RoutingOrder
+
+/** Answer the request with [refusal]. */
+public data class Refuse(public val id: RequestId, public val refusal: Refusal) : RoutingOrder
+
+/** No further attempt: end the request as [reason] says. */
+public data class GiveUp(public val id: RequestId, public val reason: String) : RoutingOrder
+
+/** Ask the control replicas for tokens. */
+public data class AskTokens(public val workspace: WorkspaceName, public val tokens: Long) : RoutingOrder
+
+/** Give tokens back to the control replicas. */
+public data class GiveBackTokens(public val workspace: WorkspaceName, public val tokens: Long) : RoutingOrder
+
+/** Tell the control replicas that [endpoint] died while it worked on [digests]. */
+public data class ReportDeath(
+    public val endpoint: EndpointName,
+    public val incarnation: String,
+    public val digests: PersistentList<RequestDigest>,
+) : RoutingOrder
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/Usages.kt
@@ -0,0 +1,62 @@
+/**
+ * Token counts in an engine's answer, in the common JSON form.
+ */
+package sniperoute.request.run.codec
+
+import com.fasterxml.jackson.core.JsonFactory
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.core.JsonToken
+
+/** What an engine counted; what it did not say is `null`. */
+public data class Usage(public val promptTokens: Long?, public val cachedTokens: Long?, public val answerTokens: Long?)
+
+/** What was found in a JSON text: whether it is one object, and its usage, if any. */
+public data class JsonFinding(public val isObject: Boolean, public val usage: Usage?)
+
+private val factory = JsonFactory()
+
+/** Returns what [text] holds. */
+public fun inspectJson(text: String): JsonFinding =
+    try {
+        factory.createParser(text).use { it.inspect() }
+    } catch (_: JsonProcessingException) {
+        JsonFinding(false, null)
+    }
+
+private fun JsonParser.inspect(): JsonFinding {
+    if (nextToken() != JsonToken.START_OBJECT) return JsonFinding(false, null)
+    var usage: Usage? = null
+    var depth = 1
+    while (depth > 0) {
+        when (nextToken() ?: return JsonFinding(false, null)) {
+            JsonToken.START_OBJECT, JsonToken.START_ARRAY -> depth += 1
+            JsonToken.END_OBJECT, JsonToken.END_ARRAY -> depth -= 1
+            JsonToken.FIELD_NAME -> if (depth == 1 && currentName() == "usage") usage = readUsage() ?: usage
+            else -> Unit
+        }
+    }
+    return JsonFinding(nextToken() == null, usage)
+}
+
+private fun JsonParser.readUsage(): Usage? {
+    if (nextToken() != JsonToken.START_OBJECT) return null
+    var usage = Usage(null, null, null)
+    var depth = 1
+    while (depth > 0) {
+        when (nextToken() ?: return null) {
+            JsonToken.START_OBJECT -> depth += 1
+            JsonToken.END_OBJECT -> depth -= 1
+            JsonToken.VALUE_NUMBER_INT -> usage = usage.with(currentName().orEmpty(), longValue)
+            else -> Unit
+        }
+    }
+    return usage
+}
+
+private fun Usage.with(name: String, value: Long): Usage = when (name) {
+    "prompt_tokens" -> copy(promptTokens = value)
+    "completion_tokens" -> copy(answerTokens = value)
+    "cached_tokens" -> copy(cachedTokens = value)
+    else -> this
+}
--- a/request/src/main/kotlin/w.kt
+++ /dev/null
@@ -1,2 +0,0 @@
-package warm
-internal val xrequest = 1
--- a/version/src/main/kotlin/sniperoute/version/decision/Allowances.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Allowances.kt
@@ -79,3 +79,12 @@
     val rest = bucket.copy(level = level - taken * MICROTOKENS_PER_TOKEN, at = fleetMicroseconds)
     return Withdrawal(taken, copy(buckets = buckets.put(workspace, rest)))
 }
+
+/** Returns the state after [tokens] that were taken and not used came back; the bucket never holds more than its burst. */
+public fun Allowances.deposit(workspace: WorkspaceName, tokens: Long): Allowances {
+    require(tokens >= 0) { "can't give back $tokens tokens" }
+    val bucket = buckets[workspace] ?: return this
+    val burst = bucket.burstTokens * MICROTOKENS_PER_TOKEN
+    val level = minOf(burst, levelOf(bucket) + minOf(tokens, bucket.burstTokens) * MICROTOKENS_PER_TOKEN)
+    return copy(buckets = buckets.put(workspace, bucket.copy(level = level, at = fleetMicroseconds)))
+}
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -46,13 +46,12 @@
 public data class TokenGrant(
     public val workspace: WorkspaceName,
     public val tokens: Long,
-    public val term: Long,
     public val retryMilliseconds: Long,
 ) : SessionMessage
 
-/** Gives back tokens that were granted in [term] and not used. */
+/** Gives back tokens that were granted and not used. Sent once at most: a return that is lost is lost to the workspace. */
 @Serializable
-public data class TokenReturn(public val workspace: WorkspaceName, public val tokens: Long, public val term: Long) : SessionMessage
+public data class TokenReturn(public val workspace: WorkspaceName, public val tokens: Long) : SessionMessage
 
 /**
  * What a router saw of one version on one route since the router's start. [firstTokenBuckets] counts answers by the time to
