--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -19,9 +19,9 @@
 import sniperoute.connection.endpoint.message.AnswerBegan
 import sniperoute.connection.endpoint.message.CallFailure
 import sniperoute.connection.endpoint.message.ContentCame
+import sniperoute.connection.endpoint.message.Ended
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
-import sniperoute.connection.endpoint.message.Ended
 import sniperoute.connection.endpoint.message.Failed
 import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.http.AnswerHead
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
@@ -53,7 +53,12 @@
     start == end || (end == start + 1 && bytes[start] == CARRIAGE_RETURN)
 
 private fun eventOrNull(bytes: ByteArray): ServerSentEvent? {
-    val lines = bytes.decodeToString().lineSequence().map { it.trimEnd('\r') }.filter { it.isNotEmpty() && !it.startsWith(':') }.toList()
+    val lines = bytes
+        .decodeToString()
+        .lineSequence()
+        .map { it.trimEnd('\r') }
+        .filter { it.isNotEmpty() && !it.startsWith(':') }
+        .toList()
     val data = lines.filter { it.startsWith("data") }.joinToString("\n") { it.fieldValue() }
     val id = lines.lastOrNull { it.startsWith("id") }?.fieldValue()
     return if (lines.isEmpty()) null else ServerSentEvent(id, data, bytes)
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -24,11 +24,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+private const val DEFAULT_BODY_BYTES = 8 * 1024 * 1024
+
 /** Bounds on what a caller may send. Sizes are in bytes. */
 public data class HttpLimits(
     public val initialLineBytes: Int = 8_192,
     public val headerBytes: Int = 16_384,
-    public val bodyBytes: Int = 8 * 1024 * 1024,
+    public val bodyBytes: Int = DEFAULT_BODY_BYTES,
     public val waitingRequests: Int = 16,
     public val idle: Duration = 120.seconds,
 )
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -64,7 +64,10 @@
 )
 
 /** Runs a link until it ends, and returns why it did. */
-internal suspend fun Socket.runLink(handshake: suspend LinkChannels.() -> arrow.core.Either<LinkRefused, Handshaken>, handlers: PeerHandlers) {
+internal suspend fun Socket.runLink(
+    handshake: suspend LinkChannels.() -> arrow.core.Either<LinkRefused, Handshaken>,
+    handlers: PeerHandlers,
+) {
     val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false))
     val outcome = withTimeoutOrNull(SILENCE) { channels.handshake() }
     outcome?.fold(
@@ -99,7 +102,10 @@
             val sealed = outgoing.seal(content)
             output.writeInt(sealed.size)
             output.writeByteArray(sealed)
-            content = link.outbox.tryReceive().getOrNull()?.let { Envelope.serializer().toBytes(it) } ?: break
+            content = link.outbox
+                .tryReceive()
+                .getOrNull()
+                ?.let { Envelope.serializer().toBytes(it) } ?: break
         }
         output.flush()
     }
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -99,8 +100,10 @@
         action()
     } catch (_: IOException) {
         // The link is gone; the dialer tries again.
+    } catch (_: TimeoutCancellationException) {
+        // Nobody answered in time; the dialer tries again.
     } catch (failure: CancellationException) {
-        if (failure !is kotlinx.coroutines.TimeoutCancellationException) throw failure
+        throw failure
     } catch (failure: Exception) {
         handlers.refused(LinkRefused("the link failed: $failure"))
     }
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Agreement.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Agreement.kt
@@ -104,4 +104,3 @@
 
 private fun AgreementState.onDiskFailed(now: Moment): Transition =
     if (role is Leader) follow(term, null, now).update { copy(electionDue = now + settings.electionMaximum * 2) } else unchanged()
-
--- a/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
+++ b/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
@@ -33,6 +33,4 @@
         Undecodable(failure.message.orEmpty()).left()
     } catch (failure: IllegalArgumentException) {
         Undecodable(failure.message.orEmpty()).left()
-    } catch (failure: IndexOutOfBoundsException) {
-        Undecodable(failure.message.orEmpty()).left()
     }
--- a/process/src/main/kotlin/sniperoute/process/metrics/Metrics.kt
+++ b/process/src/main/kotlin/sniperoute/process/metrics/Metrics.kt
@@ -19,7 +19,10 @@
 public fun newMetricsRegistry(): MetricsRegistry {
     val metrics = MetricsRegistry(PrometheusRegistry())
     metrics.gauge("sniperoute_heap_used_bytes", "Heap in use, in bytes.") {
-        ManagementFactory.getMemoryMXBean().heapMemoryUsage.used.toDouble()
+        ManagementFactory
+            .getMemoryMXBean()
+            .heapMemoryUsage.used
+            .toDouble()
     }
     metrics.gauge("sniperoute_threads", "Threads of the process.") { ManagementFactory.getThreadMXBean().threadCount.toDouble() }
     return metrics
@@ -27,15 +30,30 @@
 
 /** Returns a counter; [labels] name what it is split by. */
 public fun MetricsRegistry.counter(name: String, help: String, vararg labels: String): Counter =
-    Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+    Counter
+        .builder()
+        .name(name)
+        .help(help)
+        .labelNames(*labels)
+        .register(registry)
 
 /** Returns a histogram of seconds; [labels] name what it is split by. */
 public fun MetricsRegistry.secondsHistogram(name: String, help: String, vararg labels: String): Histogram =
-    Histogram.builder().name(name).help(help).labelNames(*labels).register(registry)
+    Histogram
+        .builder()
+        .name(name)
+        .help(help)
+        .labelNames(*labels)
+        .register(registry)
 
 /** Adds a gauge whose value is [read] at each scrape. */
 public fun MetricsRegistry.gauge(name: String, help: String, read: () -> Double) {
-    GaugeWithCallback.builder().name(name).help(help).callback { it.call(read()) }.register(registry)
+    GaugeWithCallback
+        .builder()
+        .name(name)
+        .help(help)
+        .callback { it.call(read()) }
+        .register(registry)
 }
 
 /** Adds gauges for how full [ring] is and how much it refused. */
--- a/process/src/main/kotlin/sniperoute/process/settings/PlacedValues.kt
+++ b/process/src/main/kotlin/sniperoute/process/settings/PlacedValues.kt
@@ -39,7 +39,8 @@
 
 internal data class PlacedMember(val namePlace: Place, val value: PlacedValue)
 
-private val factory: JsonFactory = JsonFactory.builder()
+private val factory: JsonFactory = JsonFactory
+    .builder()
     .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
     .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
     .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION)
--- a/process/src/main/kotlin/sniperoute/process/storage/Records.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/Records.kt
@@ -25,7 +25,8 @@
 /** Returns [content] as a record. */
 public fun recordOf(content: ByteArray): ByteArray {
     require(content.size <= LARGEST_RECORD_BYTES) { "a record of ${content.size} bytes is too large" }
-    return ByteBuffer.allocate(HEADER_BYTES + content.size)
+    return ByteBuffer
+        .allocate(HEADER_BYTES + content.size)
         .putInt(RECORD_MARK)
         .putInt(content.size)
         .putInt(checksum(content))
--- a/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
@@ -52,7 +52,9 @@
 
 /** No server could be reached; a change that was asked for may have taken effect. */
 public data class Unreachable(public val tried: ImmutableList<String>) : CallError {
-    override fun describe(): String = "no server answered (${tried.joinToString("; ")}). Check the addresses in the settings, then ask again"
+    override fun describe(): String = "no server answered (${tried.joinToString(
+        "; ",
+    )}). Check the addresses in the settings, then ask again"
 }
 
 /** The server answered with an error. */
@@ -68,7 +70,8 @@
 /** Calls the administration pages. */
 public class AdministrationClient internal constructor(private val settings: CommandSettings) {
     private val scheme = if (settings.certificateAuthority == null) "http" else "https"
-    private val client = HttpClient.newBuilder()
+    private val client = HttpClient
+        .newBuilder()
         .connectTimeout(Duration.ofSeconds(1))
         .apply { settings.certificateAuthority?.let { sslContext(trusting(it)) } }
         .build()
@@ -101,7 +104,8 @@
         }
 
     private fun fetch(address: ListenAddress, path: String, body: String?): Either<CallError, String> {
-        val request = HttpRequest.newBuilder(URI("$scheme://${address.host}:${address.port}$path"))
+        val request = HttpRequest
+            .newBuilder(URI("$scheme://${address.host}:${address.port}$path"))
             .timeout(Duration.ofSeconds(PATIENCE_SECONDS))
             .header("authorization", "Bearer ${settings.key}")
             .apply { if (body != null) POST(HttpRequest.BodyPublishers.ofString(body)) }
@@ -110,7 +114,9 @@
             val answer = client.send(request, HttpResponse.BodyHandlers.ofString())
             if (answer.statusCode() == HTTP_OK) answer.body().right() else Refused(answer.statusCode(), answer.body()).left()
         } catch (failure: IOException) {
-            Unreachable(listOf("${address.host}:${address.port}: ${failure.message ?: failure.javaClass.simpleName}").toImmutableList()).left()
+            Unreachable(
+                listOf("${address.host}:${address.port}: ${failure.message ?: failure.javaClass.simpleName}").toImmutableList(),
+            ).left()
         }
     }
 }
--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -57,7 +57,7 @@
 public fun <T : Any> parseArguments(program: String, options: T, arguments: Array<String>): CmdLineParser {
     val parser = CmdLineParser(options)
     try {
-        parser.parseArgument(*arguments)
+        parser.parseArgument(arguments.asList())
     } catch (failure: CmdLineException) {
         System.err.println("$program: ${failure.message}")
         parser.printUsage(program, System.err)
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.control
 
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.common.ExitStatus
 import sniperoute.common.awaitStop
 import sniperoute.common.failTogether
@@ -37,8 +38,6 @@
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.startRecorder
 import java.util.concurrent.atomic.AtomicReference
-import kotlinx.collections.immutable.toPersistentList
-
 import kotlin.system.exitProcess
 
 private const val AGREEMENT_RING = 8_192
@@ -60,7 +59,15 @@
 
 /** Every VM's first replica has an identity that follows from its name, so that the first members know each other. */
 private fun foundingIdentity(vm: sniperoute.process.identity.VmName): ReplicaIdentity =
-    ReplicaIdentity(vm, DiskIdentity(vm.text.hashCode().toLong() and 0xFFFF_FFFFL))
+    ReplicaIdentity(
+        vm,
+        DiskIdentity(
+            vm.text
+                .hashCode()
+                .toUInt()
+                .toLong(),
+        ),
+    )
 
 private fun form(settings: ControlSettings) {
     val membership = Membership(settings.replicas.map { foundingIdentity(it.vm) }.toPersistentList())
@@ -87,7 +94,10 @@
 private fun Recorder.noteOpened(recovered: RecoveredReplica) {
     record(EventKind.PROCESS_STARTED)
     val log = recovered.log
-    record(EventKind.LOG_OPENED, detail = "disk ${recovered.disk}, term ${recovered.term}, entries ${log.snapshot.index + 1} to ${log.lastIndex}")
+    record(
+        EventKind.LOG_OPENED,
+        detail = "disk ${recovered.disk}, term ${recovered.term}, entries ${log.snapshot.index + 1} to ${log.lastIndex}",
+    )
     if (recovered.cutBytes > 0) record(EventKind.LOG_TAIL_CUT, detail = "${recovered.cutBytes} bytes of an unfinished write")
     if (log.membership.voters.isEmpty()) record(EventKind.REPLICA_JOINED_EMPTY, detail = "disk ${recovered.disk}")
 }
@@ -171,7 +181,8 @@
     private fun listenAndDial() {
         val handlers = links.handlers()
         network.listen(name, settings.peers.host, settings.peers.port, { secretOrNull(settings.secretsFile, it) }, handlers)
-        val secret = checkNotNull(secretOrNull(settings.secretsFile, identity.vm)) { "${settings.secretsFile} has no secret for ${identity.vm}" }
+        val secret =
+            checkNotNull(secretOrNull(settings.secretsFile, identity.vm)) { "${settings.secretsFile} has no secret for ${identity.vm}" }
         settings.replicas.filter { it.vm != identity.vm }.forEach { network.dial(name, it, secret, links.dialerHandlers()) }
     }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -8,9 +8,9 @@
 import sniperoute.connection.endpoint.message.AnswerBegan
 import sniperoute.connection.endpoint.message.CallEvent
 import sniperoute.connection.endpoint.message.ContentCame
+import sniperoute.connection.endpoint.message.Ended
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
-import sniperoute.connection.endpoint.message.Ended
 import sniperoute.connection.endpoint.message.Failed
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.HttpStatus
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -73,13 +73,29 @@
     private fun isLeading(): Boolean = desk.published.get().isLeading(desk.status.get(), clock())
 
     private fun configuration(): WholeAnswer {
-        if (!isLeading()) return notLeader(desk.status.get().leader?.text)
-        val configurations = desk.published.get().machine.configurations
+        if (!isLeading()) {
+            return notLeader(
+                desk.status
+                    .get()
+                    .leader
+                    ?.text,
+            )
+        }
+        val configurations = desk.published
+            .get()
+            .machine.configurations
         return json(ConfigurationReply.serializer(), ConfigurationReply(configurations.number, configurations.declarations))
     }
 
     private fun inForce(wanted: Long?): WholeAnswer {
-        if (!isLeading()) return notLeader(desk.status.get().leader?.text)
+        if (!isLeading()) {
+            return notLeader(
+                desk.status
+                    .get()
+                    .leader
+                    ?.text,
+            )
+        }
         val state = desk.published.get()
         val leases = state.leadership?.leases ?: return notLeader(null)
         val revision = wanted ?: state.machine.published.revision
@@ -111,14 +127,20 @@
     }
 
     private fun DeskState.routers() =
-        leadership?.leases?.routers.orEmpty()
+        leadership
+            ?.leases
+            ?.routers
+            .orEmpty()
             .filterValues { it.until > clock() }
             .map { (name, lease) -> RouterView(name.vm.text, name.incarnation.toString(), lease.revision) }
             .sortedBy { it.vm }
             .toPersistentList()
 
     private fun ControlState.quarantine() =
-        published.changes.values.mapNotNull { (it.item as? QuarantineItem)?.digest?.text }.sorted().toPersistentList()
+        published.changes.values
+            .mapNotNull { (it.item as? QuarantineItem)?.digest?.text }
+            .sorted()
+            .toPersistentList()
 
     private fun change(exchange: Exchange, operator: Operator) {
         commandOf(exchange, operator.name).fold(
@@ -135,12 +157,15 @@
     private fun commandOf(exchange: Exchange, operator: String): Either<WholeAnswer, Command> {
         val now = clock()
         return when (exchange.head.path) {
-            "/configuration" -> form(SubmissionForm.serializer(), exchange).checkDigest()
+            "/configuration" -> form(SubmissionForm.serializer(), exchange)
+                .checkDigest()
                 .map { SubmitConfiguration(now, it.follows, it.digest, operator, it.declarations) }
-            "/keys/grant" -> form(KeyForm.serializer(), exchange).checkKey { either {
-                val workspace = ensureNotNull(it.workspace) { malformed("\"workspace\" is missing") }
-                GrantKey(now, KeyDigest(it.sha256), WorkspaceName(workspace), operator)
-            } }
+            "/keys/grant" -> form(KeyForm.serializer(), exchange).checkKey {
+                either {
+                    val workspace = ensureNotNull(it.workspace) { malformed("\"workspace\" is missing") }
+                    GrantKey(now, KeyDigest(it.sha256), WorkspaceName(workspace), operator)
+                }
+            }
             "/keys/withdraw" -> form(KeyForm.serializer(), exchange).checkKey { WithdrawKey(now, KeyDigest(it.sha256), operator).right() }
             "/moves/start" -> form(MoveForm.serializer(), exchange).fold({ it.left() }, { startMove(it, now, operator) })
             "/moves/take-back" -> form(MoveForm.serializer(), exchange).map { TakeBackMove(now, ServiceName(it.service), operator) }
@@ -175,9 +200,19 @@
     try {
         administrationJson.decodeFromString(serializer, exchange.body.decodeToString()).right()
     } catch (failure: SerializationException) {
-        malformed(failure.message.orEmpty().lineSequence().first()).left()
+        malformed(
+            failure.message
+                .orEmpty()
+                .lineSequence()
+                .first(),
+        ).left()
     } catch (failure: IllegalArgumentException) {
-        malformed(failure.message.orEmpty().lineSequence().first()).left()
+        malformed(
+            failure.message
+                .orEmpty()
+                .lineSequence()
+                .first(),
+        ).left()
     }
 
 private fun malformed(reason: String): WholeAnswer = errorAnswer(HttpStatus.BAD_REQUEST, "malformed_request", reason, NOT_RUN)
--- a/programs/control/src/main/kotlin/sniperoute/control/codec/WeightsPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/codec/WeightsPages.kt
@@ -3,8 +3,8 @@
  */
 package sniperoute.control.codec
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import sniperoute.version.message.WeightsVersion
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -33,7 +33,12 @@
 
 private fun DeskState.take(status: AgreementStatus, now: Moment, input: DeskInput?): DeskStep = when (input) {
     null -> onTime(status, now)
-    is EntriesCommitted -> input.entries.fold(unchanged()) { step, entry -> step.then { it.applyEntry(entry, now) } }.then { it.keepSnapshot() }
+    is EntriesCommitted ->
+        input.entries
+            .fold(
+                unchanged(),
+            ) { step, entry -> step.then { it.applyEntry(entry, now) } }
+            .then { it.keepSnapshot() }
     is SnapshotRestored -> restore(input)
     is ProposalRefused -> refuseWaiter(input)
     is SessionReceived -> onSession(input, status, now)
@@ -61,7 +66,11 @@
 }
 
 private fun DeskState.dismissWaiters(status: AgreementStatus): DeskStep =
-    leadership?.waiters?.values.orEmpty().fold(unchanged()) { step, waiter -> step.then { it.dismiss(waiter, status.leader, mayHaveRun = true) } }
+    leadership?.waiters?.values.orEmpty().fold(unchanged()) { step, waiter ->
+        step.then {
+            it.dismiss(waiter, status.leader, mayHaveRun = true)
+        }
+    }
 
 private fun DeskState.dismiss(waiter: Waiter, leader: VmName?, mayHaveRun: Boolean): DeskStep = when (waiter) {
     is LedgerWaiter -> unchanged().order(ReplyLedger(waiter.to, LedgerNotHere))
@@ -101,7 +110,11 @@
 }
 
 private fun DeskState.notifyRouters(): DeskStep {
-    val links = leadership?.links?.keys.orEmpty().toPersistentList()
+    val links = leadership
+        ?.links
+        ?.keys
+        .orEmpty()
+        .toPersistentList()
     if (links.isEmpty()) return unchanged()
     return unchanged().order(NotifyRouters(links, ChangeNotice(machine.published.revision)))
 }
@@ -180,12 +193,14 @@
     val known = lead { copy(links = links.put(input.from.link, input.router)) }
     return when (val message = input.message) {
         is RenewRequest -> known.renew(input, message, now)
-        is TokenRequest -> known
-            .lead { copy(asks = asks.add(TokenAsk(input.from, message.workspace, message.tokens))) }
-            .proposeTokens(now, isDue = false)
-        is TokenReturn -> known
-            .lead { copy(returns = returns.add(TokenAmount(message.workspace, message.tokens))) }
-            .proposeTokens(now, isDue = false)
+        is TokenRequest ->
+            known
+                .lead { copy(asks = asks.add(TokenAsk(input.from, message.workspace, message.tokens))) }
+                .proposeTokens(now, isDue = false)
+        is TokenReturn ->
+            known
+                .lead { copy(returns = returns.add(TokenAmount(message.workspace, message.tokens))) }
+                .proposeTokens(now, isDue = false)
         else -> known.unchanged()
     }
 }
@@ -251,11 +266,21 @@
 
 private fun eventOrNull(command: Command, outcome: Applied): NoteEvent? = when (command) {
     is SubmitConfiguration -> submissionEvent(command, outcome)
-    is GrantKey -> NoteEvent(EventKind.KEY_GRANTED, EventSubject(workspace = command.workspace.text), "${command.digest} by ${command.operator}")
+    is GrantKey -> NoteEvent(
+        EventKind.KEY_GRANTED,
+        EventSubject(workspace = command.workspace.text),
+        "${command.digest} by ${command.operator}",
+    )
     is WithdrawKey -> NoteEvent(EventKind.KEY_WITHDRAWN, EventSubject(), "${command.digest} by ${command.operator}")
-    is StartMove -> NoteEvent(EventKind.MOVE_STARTED, EventSubject(weights = command.to.text), "service ${command.service} by ${command.operator}")
+    is StartMove -> NoteEvent(
+        EventKind.MOVE_STARTED,
+        EventSubject(weights = command.to.text),
+        "service ${command.service} by ${command.operator}",
+    )
     is AdvanceMove -> moveEvent(command)
-    is ChangeLedger -> NoteEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "a death was charged").takeIf { outcome.quarantined.isNotEmpty() }
+    is ChangeLedger -> NoteEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "a death was charged").takeIf {
+        outcome.quarantined.isNotEmpty()
+    }
     else -> null
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -56,7 +56,12 @@
 public data class TokenAsk(public val to: ReplyAddress, public val workspace: WorkspaceName, public val tokens: Long)
 
 /** What evidence a step of a move began with, and when. */
-public data class MoveBaseline(public val share: Int, public val fence: Long, public val started: Moment, public val evidence: EvidenceTable)
+public data class MoveBaseline(
+    public val share: Int,
+    public val fence: Long,
+    public val started: Moment,
+    public val evidence: EvidenceTable,
+)
 
 /** An order to an endpoint that was sent at [at]. */
 public data class SentOrder(public val weights: WeightsVersion, public val at: Moment)
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/MoveTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/MoveTending.kt
@@ -37,7 +37,9 @@
     val known = leadership ?: return this
     val baseline = known.baselines[move.service]
     if (baseline != null && baseline.share == move.share) return this
-    val total = known.evidence.values.toList().total()
+    val total = known.evidence.values
+        .toList()
+        .total()
     return lead { copy(baselines = baselines.put(move.service, MoveBaseline(move.share, move.fence, now, total))) }
 }
 
@@ -45,7 +47,15 @@
     val known = leadership ?: return unchanged()
     val baseline = known.baselines.getValue(move.service)
     if (move.service in known.openAdvances) return closeAdvance(move)
-    val evidence = compareVersions(move.service, move.from, move.to, baseline.evidence, known.evidence.values.toList().total())
+    val evidence = compareVersions(
+        move.service,
+        move.from,
+        move.to,
+        baseline.evidence,
+        known.evidence.values
+            .toList()
+            .total(),
+    )
     val observation = MoveObservation(baseline.started, known.loaded.toImmutableMap(), evidence)
     val advice = adviseMove(move, service, observation, now) as? GoTo ?: return unchanged()
     val next = move.follow(advice, applied + 1)
--- a/programs/operator/src/main/kotlin/sniperoute/operator/TimelineCommands.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/TimelineCommands.kt
@@ -26,9 +26,11 @@
     val client = administrationClient(settings)
     val addresses = settings.control + settings.routers
     val timelines = addresses.mapNotNull { address ->
-        client.ask(address, "/timeline", ListSerializer(Event.serializer())).onLeft {
-            System.err.println("no time line from ${address.host}:${address.port}: ${it.describe()}")
-        }.getOrNull()
+        client
+            .ask(address, "/timeline", ListSerializer(Event.serializer()))
+            .onLeft {
+                System.err.println("no time line from ${address.host}:${address.port}: ${it.describe()}")
+            }.getOrNull()
     }
     if (timelines.isEmpty()) fail("no process gave its time line", ExitStatus.UNREACHABLE)
     show(mergeTimelines(timelines, options.toFilter(timelines)), options)
--- a/programs/operator/src/main/kotlin/sniperoute/operator/TimelinePictures.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/TimelinePictures.kt
@@ -24,7 +24,9 @@
     val scale = Scale(events)
     val height = TOP + scale.processes.size * LANE_HEIGHT + LABEL_STEP
     return buildString {
-        append("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"$WIDTH\" height=\"$height\" font-family=\"sans-serif\" font-size=\"10\">\n")
+        append(
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"$WIDTH\" height=\"$height\" font-family=\"sans-serif\" font-size=\"10\">\n",
+        )
         append("<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n")
         appendGrid(scale, height)
         scale.processes.forEach { appendLane(scale, it) }
@@ -70,9 +72,13 @@
     val x = scale.x(event)
     val y = scale.y(event.process)
     val title = "${event.kind.number} ${event.kind.name} ${event.subject} ${event.detail}".escaped()
-    append("<circle cx=\"%.1f\" cy=\"%d\" r=\"%d\" fill=\"%s\"><title>%s</title></circle>\n".format(x, y, MARK_RADIUS, event.color(), title))
+    append(
+        "<circle cx=\"%.1f\" cy=\"%d\" r=\"%d\" fill=\"%s\"><title>%s</title></circle>\n".format(x, y, MARK_RADIUS, event.color(), title),
+    )
     if (event.kind.severity != Severity.DEBUG) {
-        val label = event.kind.name.lowercase().replace('_', ' ')
+        val label = event.kind.name
+            .lowercase()
+            .replace('_', ' ')
         val labelY = y - LABEL_STEP / 2 - position % LABEL_ROWS * LABEL_STEP / 2
         append("<text x=\"%.1f\" y=\"%d\" font-size=\"7\" fill=\"#333333\">%s</text>\n".format(x, labelY, label))
     }
--- a/programs/router/src/main/kotlin/sniperoute/router/EndpointPages.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/EndpointPages.kt
@@ -36,7 +36,10 @@
 
 /** Returns the page about the endpoints in [state] at [now]. */
 internal fun endpointsPage(state: RoutingState, now: Moment): WholeAnswer {
-    val views = state.endpoints.values.map { it.toView(now) }.sortedBy { it.endpoint }.toPersistentList()
+    val views = state.endpoints.values
+        .map { it.toView(now) }
+        .sortedBy { it.endpoint }
+        .toPersistentList()
     return jsonAnswer(HttpStatus.OK, administrationJson.encodeToString(EndpointsReply.serializer(), EndpointsReply(views)))
 }
 
--- a/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
@@ -81,7 +81,10 @@
     }
 
 private fun WatchState.watch(catalogue: Catalogue, now: Moment): WatchState {
-    val engines = catalogue.services.values.filter { it.kind == ServiceKind.MODEL }.flatMap { it.endpoints }.associateBy { it.name }
+    val engines = catalogue.services.values
+        .filter { it.kind == ServiceKind.MODEL }
+        .flatMap { it.endpoints }
+        .associateBy { it.name }
     watched.filterKeys { it !in engines }.values.forEach { it.call?.cancel() }
     val kept = engines.values.fold(persistentMapOf<EndpointName, WatchedEndpoint>()) { all, endpoint ->
         val known = watched[endpoint.name]?.takeIf { it.endpoint.host == endpoint.host && it.endpoint.port == endpoint.port }
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
@@ -108,7 +108,12 @@
         startDuties()
         settings.replicas.forEach { network.dial(name, it, settings.secret, session.handlers()) }
         watchMetrics()
-        val administration = threads.serve(settings.administration.host, settings.administration.port, tls = settings.tls, handle = ::administer)
+        val administration = threads.serve(
+            settings.administration.host,
+            settings.administration.port,
+            tls = settings.tls,
+            handle = ::administer,
+        )
         val callers = threads.serve(settings.callers.host, settings.callers.port, settings.limits, settings.tls, ::receive)
         recorder.record(EventKind.PROCESS_READY, detail = "callers on port ${callers.port}, administration on port ${administration.port}")
         awaitStop { stop(callers) }
@@ -117,7 +122,13 @@
     private fun startDuties() {
         val routing = RoutingOutlets(runs, sessionRing, { session.askLedger(it, true) {} }, routingState)
         startRoutingDuty(routingRing, settings.placement, routing, clock, onFailure)
-        startSessionDuty(sessionRing, newControlSession(settings.replicas.map { it.vm }.toPersistentList(), clock()), session, clock, onFailure)
+        startSessionDuty(
+            sessionRing,
+            newControlSession(settings.replicas.map { it.vm }.toPersistentList(), clock()),
+            session,
+            clock,
+            onFailure,
+        )
         val platform = settings.platformList?.let { EndpointAddress(it.host, it.port) }
         startWatchDuty(WatchOutlets(watchRing, routingRing, client::call, recorder, platform), clock, onFailure)
     }
@@ -131,7 +142,10 @@
         listOf(routingRing, sessionRing, watchRing).forEach(metrics::watch)
         metrics.gauge("sniperoute_requests_running", "Requests under way.") { runs.size.toDouble() }
         metrics.gauge("sniperoute_known_pieces", "Cached pieces that this router knows of.") {
-            routingState.get().knowledge.holders.size.toDouble()
+            routingState
+                .get()
+                .knowledge.holders.size
+                .toDouble()
         }
         metrics.gauge("sniperoute_timeline_dropped", "Events that the time line had no room for.") { recorder.dropped.toDouble() }
     }
--- a/programs/router/src/main/kotlin/sniperoute/router/codec/EngineEvents.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/codec/EngineEvents.kt
@@ -5,8 +5,8 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /**
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -142,7 +142,13 @@
 private fun ControlSession.onSession(input: SessionSaid, now: Moment): SessionStep = when (val message = input.message) {
     is RenewReply -> onRenewed(input, message)
     is NotLeader -> turnFrom(input.replica, message.leader, now).then { it.renewSoon(now) }
-    is ChangeNotice -> if (message.revision > view.catalogue.revision && renewal == null) renew(now) else copy(nextRenewal = now).unchanged()
+    is ChangeNotice -> if (message.revision > view.catalogue.revision &&
+        renewal == null
+    ) {
+        renew(now)
+    } else {
+        copy(nextRenewal = now).unchanged()
+    }
     is TokenGrant -> unchanged().order(
         HandTokens(TokensGranted(message.workspace, message.tokens, message.retryMilliseconds.milliseconds)),
     )
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.router.message
 
+import kotlinx.collections.immutable.ImmutableList
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.ledger.message.LedgerReply
@@ -10,7 +11,6 @@
 import sniperoute.request.routing.message.TokensGranted
 import sniperoute.version.message.RouteEvidence
 import sniperoute.version.message.SessionMessage
-import kotlinx.collections.immutable.ImmutableList
 
 /** The number of a question to the ledger that waits for its answer. */
 @JvmInline
--- a/programs/standin/src/main/kotlin/sniperoute/standin/PlainServices.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/PlainServices.kt
@@ -57,7 +57,12 @@
     }
 
     private fun confirm(exchange: Exchange, count: Long) {
-        val id = Header("x-request-id", exchange.head.headers.valueOrNull("x-request-id").orEmpty())
+        val id = Header(
+            "x-request-id",
+            exchange.head.headers
+                .valueOrNull("x-request-id")
+                .orEmpty(),
+        )
         val headers = persistentListOf(Header("content-type", "application/json"), id)
         exchange.answer(AnswerHead(HttpStatus.OK, headers), "{\"ran\":$count}".toByteArray())
     }
--- a/programs/standin/src/main/kotlin/sniperoute/standin/engine/codec/EnginePages.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/engine/codec/EnginePages.kt
@@ -5,11 +5,11 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
-import kotlinx.serialization.json.addJsonObject
 import sniperoute.standin.engine.decision.EngineJob
 
 /** The JSON of all stand-in pages. */
--- a/programs/standin/src/main/kotlin/sniperoute/standin/engine/decision/Engines.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/engine/decision/Engines.kt
@@ -86,7 +86,12 @@
 public sealed interface EngineOutput
 
 /** Token number [number], counted from 1, of the answer to [id] is there; [isLast] ends it. */
-public data class TokenMade(public val id: Long, public val number: Long, public val isLast: Boolean, public val job: EngineJob) : EngineOutput
+public data class TokenMade(
+    public val id: Long,
+    public val number: Long,
+    public val isLast: Boolean,
+    public val job: EngineJob,
+) : EngineOutput
 
 /** The cache changed. */
 public data class CacheDiffers(public val stored: PersistentList<Long>, public val removed: PersistentList<Long>) : EngineOutput
--- a/programs/standin/src/main/kotlin/sniperoute/standin/engine/decision/PieceCaches.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/engine/decision/PieceCaches.kt
@@ -32,6 +32,10 @@
     val surplus = used.size - capacity
     val next = copy(pieces = used, uses = uses + chain.size + 1)
     if (surplus <= 0) return CacheUse(next, stored, persistentListOf())
-    val removed = used.entries.sortedBy { it.value }.take(surplus).map { it.key }.toPersistentList()
+    val removed = used.entries
+        .sortedBy { it.value }
+        .take(surplus)
+        .map { it.key }
+        .toPersistentList()
     return CacheUse(next.copy(pieces = removed.fold(used) { all, piece -> all.remove(piece) }), stored, removed)
 }
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Callers.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Callers.kt
@@ -18,7 +18,11 @@
 
 /** Calls routers. */
 public class Caller internal constructor() {
-    private val client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).version(HttpClient.Version.HTTP_1_1).build()
+    private val client = HttpClient
+        .newBuilder()
+        .connectTimeout(Duration.ofSeconds(1))
+        .version(HttpClient.Version.HTTP_1_1)
+        .build()
 
     /** Returns the answer of the router at [address] to a GET of [path]. */
     public fun get(address: ListenAddress, path: String, key: String?): CallerAnswer = send(request(address, path, key).GET().build())
@@ -31,7 +35,8 @@
     }
 
     private fun request(address: ListenAddress, path: String, key: String?): HttpRequest.Builder {
-        val builder = HttpRequest.newBuilder(URI("http://${address.host}:${address.port}$path")).timeout(Duration.ofSeconds(PATIENCE_SECONDS))
+        val uri = URI("http://${address.host}:${address.port}$path")
+        val builder = HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(PATIENCE_SECONDS))
         return if (key == null) builder else builder.header("authorization", "Bearer $key")
     }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/CacheKnowledge.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/CacheKnowledge.kt
@@ -56,10 +56,11 @@
 public fun CacheKnowledge.heldPieces(chain: List<Long>, weights: WeightsVersion, endpoint: EndpointName, now: Moment): Int {
     val gap = gaps[endpoint]
     val oldest = if (gap != null && now - gap > BELIEF_AFTER_GAP) gap else Moment.EARLIEST
-    return chain.indexOfFirst { link ->
-        val known = holders[cacheKey(link, weights)]?.get(endpoint)
-        known == null || known < oldest
-    }.let { if (it < 0) chain.size else it }
+    return chain
+        .indexOfFirst { link ->
+            val known = holders[cacheKey(link, weights)]?.get(endpoint)
+            known == null || known < oldest
+        }.let { if (it < 0) chain.size else it }
 }
 
 private fun CacheKnowledge.trimmed(): CacheKnowledge {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -81,7 +81,9 @@
 /** Whether an endpoint serves [weights]; one that has said nothing yet is taken to serve what it is assigned. */
 private fun EndpointState.servesNow(service: Service, weights: WeightsVersion?, state: RoutingState): Boolean {
     if (kind == ServiceKind.PLAIN) return true
-    val assigned = state.view.catalogue.moves[service.name]?.assigned?.get(endpoint.name) ?: service.weights
+    val assigned = state.view.catalogue.moves[service.name]
+        ?.assigned
+        ?.get(endpoint.name) ?: service.weights
     return (this.weights ?: assigned) == weights
 }
 
@@ -109,11 +111,15 @@
 }
 
 internal fun List<Long>.cacheKeys(weights: WeightsVersion): List<Long> =
-    map { sniperoute.request.prefix.decision.cacheKey(it, weights) }
+    map {
+        sniperoute.request.prefix.decision
+            .cacheKey(it, weights)
+    }
 
 /** Returns the state after asking for the tokens that requests of [service] wait for. */
 internal fun RoutingState.balanceWaiting(service: ServiceName, now: Moment): RoutingStep =
-    queueOf(service).all()
+    queueOf(service)
+        .all()
         .filter { it.facts.id !in retries }
         .mapNotNull { it.facts.workspace }
         .distinct()
@@ -149,7 +155,12 @@
 }
 
 private fun RoutingState.refuse(id: sniperoute.request.routing.message.RequestId, refusal: Refusal) =
-    if (id in retries) sniperoute.request.routing.message.GiveUp(id, refusal.message) else Refuse(id, refusal)
+    if (id in retries) {
+        sniperoute.request.routing.message
+            .GiveUp(id, refusal.message)
+    } else {
+        Refuse(id, refusal)
+    }
 
 /** Returns why a waiting request must be refused at [now], or `null` while it may wait. */
 private fun RoutingState.refusalOrNull(facts: RequestFacts, now: Moment): Refusal? {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -42,8 +42,7 @@
         .minWithOrNull(
             compareBy<Expectation> { (it.firstToken / EQUAL_TIMES).toLong() }
                 .thenByDescending { rendezvousWeight(subject, it.placement.endpoint.text) },
-        )
-        ?.placement
+        )?.placement
 }
 
 private data class Expectation(val placement: Placement, val firstToken: Duration)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -155,7 +155,14 @@
 private fun RoutingState.onBroken(endpoint: EndpointState, digest: RequestDigest, now: Moment): RoutingStep {
     val name = endpoint.endpoint.name
     val rested = withEndpoint(name) { it.failed(now) }
-    return if (endpoint.isDyingAt(now)) rested.charge(endpoint, listOf(digest), now) else rested.withEndpoint(name) { it.broke(digest, now) }.unchanged()
+    return if (endpoint.isDyingAt(now)) {
+        rested.charge(endpoint, listOf(digest), now)
+    } else {
+        rested
+            .withEndpoint(name) {
+                it.broke(digest, now)
+            }.unchanged()
+    }
 }
 
 /** An endpoint was found dead: what broke there shortly before is suspected of it. */
@@ -175,18 +182,23 @@
     val id = run.facts.id
     val isFree = result.reach == Reach.NOT_RUN || result.reach == Reach.REJECTED
     val isAllowed = isFree || (result.mayRepeat && run.facts.route.repetition == Repetition.REPEATABLE)
-    val isSecondDeath = result.reach == Reach.BROKEN && retries[id]?.let { run.facts.digest in suspects } ?: false
+    val mayTry = isAllowed && !isSecondDeath(run, result) && run.attempt < MOST_ATTEMPTS && now < run.facts.deadline
     val spent = if (isFree) budget else budget.spendOrNull(now)
-    val mayTry = isAllowed && !isSecondDeath && run.attempt < MOST_ATTEMPTS && now < run.facts.deadline
     if (!mayTry || spent == null) return copy(retries = retries.remove(id)).unchanged().order(GiveUp(id, result.reason))
-    val failedAt = (retries[id]?.failedAt ?: noFailures()).add(run.endpoint)
-    val weights = if (isFree && retries[id] == null) null else run.weights
-    val note = RetryNote(run.attempt, failedAt, weights)
+    val note = RetryNote(
+        attempts = run.attempt,
+        failedAt = (retries[id]?.failedAt ?: noFailures()).add(run.endpoint),
+        weights = if (isFree && retries[id] == null) null else run.weights,
+    )
     val service = run.facts.route.service
     val queue = queueOf(service).addFirst(Waiting(run.facts, 1))
     return copy(budget = spent, retries = retries.put(id, note), queues = queues.put(service, queue)).unchanged()
 }
 
+/** Whether this attempt broke like an earlier one that is suspected of an endpoint's death. */
+private fun RoutingState.isSecondDeath(run: RunningRequest, result: Unanswered): Boolean =
+    result.reach == Reach.BROKEN && run.facts.id in retries && run.facts.digest in suspects
+
 private fun RoutingState.onViewChanged(newView: ServingView, place: PlaceRequest, now: Moment): RoutingStep {
     val changed = newView.catalogue.revision != view.catalogue.revision
     val next = copy(view = newView)
@@ -195,7 +207,8 @@
 }
 
 private fun RoutingState.withDeclaredEndpoints(): RoutingState {
-    val declared = view.catalogue.services.values.flatMap { service -> service.endpoints.map { service to it } }
+    val declared = view.catalogue.services.values
+        .flatMap { service -> service.endpoints.map { service to it } }
     val kept = declared.fold(endpoints.clear()) { all, (service, endpoint) ->
         all.put(endpoint.name, endpoints[endpoint.name]?.redeclared(service, endpoint) ?: newEndpoint(service, endpoint))
     }
@@ -219,12 +232,13 @@
     val current = if (isRestarted) onDeath(input.endpoint, now) else unchanged()
     return current.then { state ->
         val cleared = if (isMoved) state.copy(knowledge = state.knowledge.forget(input.endpoint)) else state
-        cleared.withEndpoint(input.endpoint) { endpoint ->
-            endpoint.identified(input.incarnation, input.weights).copy(
-                isLeaving = input.isLeaving,
-                report = LoadReport(now, input.running, input.waitingTokens, endpoint.own.size),
-            )
-        }.drain(known.service, place, now)
+        cleared
+            .withEndpoint(input.endpoint) { endpoint ->
+                endpoint.identified(input.incarnation, input.weights).copy(
+                    isLeaving = input.isLeaving,
+                    report = LoadReport(now, input.running, input.waitingTokens, endpoint.own.size),
+                )
+            }.drain(known.service, place, now)
     }
 }
 
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -66,8 +66,21 @@
 private const val LONGEST_RECORDED_ANSWER = 16 * 1024
 private val SHORTEST_WAIT = 10.milliseconds
 private val NEVER_PASSED = setOf(
-    "authorization", "x-api-key", "proxy-authorization", "cookie", "host", "connection", "keep-alive", "te", "trailer",
-    "transfer-encoding", "upgrade", "content-length", "expect", "x-request-id", "last-event-id",
+    "authorization",
+    "x-api-key",
+    "proxy-authorization",
+    "cookie",
+    "host",
+    "connection",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "x-request-id",
+    "last-event-id",
 )
 private val NEVER_RETURNED = setOf("connection", "keep-alive", "transfer-encoding", "content-length", "x-request-id", "trailer", "upgrade")
 
@@ -273,7 +286,12 @@
             assembly.hasStarted -> breakOff(reason)
             outcome == Outcome.NOT_RUN -> refuse(Refusal(RefusalKind.NO_ENDPOINT, reason))
             else -> {
-                passed.ledgerKey?.let { outlets.askLedger(LoseCall(it, passed.owner), true) { record(EventKind.ONCE_ONLY_UNKNOWN, outcome) } }
+                passed.ledgerKey?.let {
+                    outlets.askLedger(
+                        LoseCall(it, passed.owner),
+                        true,
+                    ) { record(EventKind.ONCE_ONLY_UNKNOWN, outcome) }
+                }
                 tell(RefusalKind.ENDPOINT_FAILED, reason, outcome)
             }
         }
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -108,7 +108,10 @@
 }
 
 private fun Assembly.onHead(answered: AnswerHead): AssemblyStep {
-    val isEventStream = answered.headers.valueOrNull("content-type").orEmpty().startsWith("text/event-stream")
+    val isEventStream = answered.headers
+        .valueOrNull("content-type")
+        .orEmpty()
+        .startsWith("text/event-stream")
     val isModel = kind == ServiceKind.MODEL
     return when {
         isModel && answered.status in REJECTIONS -> fail(Reach.REJECTED, "the endpoint did not take the request: ${answered.status}")
--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -88,6 +88,8 @@
 /** Returns the weights that a request whose hash is [hash] should be served by. */
 public fun Catalogue.chosenWeightsOrNull(service: Service, hash: Long): WeightsVersion? {
     val move = moves[service.name] ?: return service.weights
-    val position = java.lang.Long.remainderUnsigned(hash, THOUSANDTHS.toLong()).toInt()
+    val position = java.lang.Long
+        .remainderUnsigned(hash, THOUSANDTHS.toLong())
+        .toInt()
     return if (position < move.share) move.to else move.from
 }
