Let requests wait for the engine that holds their prefix, and weigh recomputation

When all engines are busy, the next request went to whichever slot became free, whatever was cached there; each such miss made the overload worse. Change: engines without a free slot are candidates too, and a request whose best place is one of them waits, up to 4 s, while up to 7 behind it are looked at; a recomputed token counts 16 times, less the more requests share the pieces; time per token is learned from what stood before a request, not from its own tokens alone; load reports count this router's own part once.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
@@ -19,6 +20,7 @@
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
+import kotlin.time.Duration.Companion.seconds
 
 /** Returns the state after every request of [service] that can go now was sent, in fair order. */
 internal fun RoutingState.drain(service: ServiceName, place: PlaceRequest, now: Moment): RoutingStep {
@@ -42,6 +44,9 @@
     return copy(queues = queues.put(service, taken.rest), sequence = sequence + 1).dispatch(taken.request.facts, chosen, now)
 }
 
+/** After this long a request takes any free slot, wherever its prompt may be cached. */
+private val LONGEST_HOLD = 4.seconds
+
 private data class Target(val placement: Placement, val weights: WeightsVersion?)
 
 private fun RoutingState.hasTokens(facts: RequestFacts): Boolean =
@@ -49,10 +54,23 @@
 
 private fun RoutingState.targetOrNull(service: Service, facts: RequestFacts, place: PlaceRequest, now: Moment): Target? =
     weightsToTry(service, facts).firstNotNullOfOrNull { weights ->
-        val candidates = candidates(service, facts, weights, now)
-        place(placementQuestion(facts, weights, candidates, knowledge, sequence, now), now)?.let { Target(it, weights) }
+        val usable = candidates(service, facts, weights, now)
+        val candidates = if (now - facts.arrived < LONGEST_HOLD) usable else usable.filter { it.freeSlots(now) > 0 }
+        place(question(facts, weights, candidates, now), now)?.let { Target(it, weights) }
     }
 
+private fun RoutingState.question(
+    facts: RequestFacts,
+    weights: WeightsVersion?,
+    candidates: List<EndpointState>,
+    now: Moment,
+): PlacementQuestion {
+    val held = if (weights == null) persistentMapOf() else knowledge.heldPieces(facts.chain, weights, now)
+    val last = facts.chain.lastOrNull()
+    val sharing = if (last == null) 0 else running.values.count { it.facts.chain.lastOrNull() == last }
+    return PlacementQuestion(facts, candidates, held, sharing, sequence)
+}
+
 /**
  * The weights that may serve a request: those it began with, or the ones its share gives; when nothing serves the new
  * weights any more, the old ones.
@@ -72,7 +90,7 @@
     val isSuspect = facts.digest in suspects
     val usable = service.endpoints
         .mapNotNull { endpoints[it.name] }
-        .filter { it.servesNow(service, weights, this) && it.isUsable(now) && it.freeSlots(now) > 0 }
+        .filter { it.servesNow(service, weights, this) && it.isUsable(now) }
         .filter { !isSuspect || it.own.values.none(OwnWork::isSuspect) }
     val failedAt = retries[facts.id]?.failedAt ?: return usable
     return usable.filter { it.endpoint.name !in failedAt }.ifEmpty { usable }
@@ -90,8 +108,10 @@
 private fun RoutingState.dispatch(facts: RequestFacts, target: Target, now: Moment): RoutingStep {
     val note = retries[facts.id]
     val attempt = (note?.attempts ?: 0) + 1
-    val work = OwnWork(facts.digest, target.placement.missedTokens, hasBegun = false, isSuspect = facts.digest in suspects)
     val name = target.placement.endpoint
+    val missed = target.placement.missedTokens
+    val ahead = endpoints.getValue(name).waitingTokens(now) + missed
+    val work = OwnWork(facts.digest, missed, ahead, hasBegun = false, isSuspect = facts.digest in suspects)
     val paid = if (note == null && facts.workspace != null) tokens.spend(facts.workspace, facts.tokens, now) else tokens
     val endpoint = endpoints.getValue(name)
     return copy(
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -19,16 +19,29 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A request of this router at an endpoint; [missedTokens] are to be computed before its first token. */
+/**
+ * A request of this router at an endpoint. [missedTokens] of its prompt are to be computed before its first token, and with
+ * what waited there before it [aheadTokens].
+ */
 public data class OwnWork(
     public val digest: RequestDigest,
     public val missedTokens: Long,
+    public val aheadTokens: Long,
     public val hasBegun: Boolean,
     public val isSuspect: Boolean,
 )
 
-/** What an engine reported at [at]: requests in work, and prompt tokens that wait to be computed. */
-public data class LoadReport(public val at: Moment, public val running: Int, public val waitingTokens: Long, public val ownRunning: Int)
+/**
+ * What an engine reported at [at]: requests in work, and prompt tokens that wait to be computed. [ownRunning] and
+ * [ownWaitingTokens] of these were this router's.
+ */
+public data class LoadReport(
+    public val at: Moment,
+    public val running: Int,
+    public val waitingTokens: Long,
+    public val ownRunning: Int,
+    public val ownWaitingTokens: Long,
+)
 
 /** A request that broke at an endpoint. */
 public data class BrokenWork(public val digest: RequestDigest, public val at: Moment)
@@ -71,11 +84,14 @@
 
 /** Returns the prompt tokens that stand before a new request here. */
 public fun EndpointState.waitingTokens(now: Moment): Long {
-    val ours = own.values.filter { !it.hasBegun }.sumOf { it.missedTokens }
-    val others = report?.takeIf { now - it.at < REPORT_LIFE && it.running > it.ownRunning }?.waitingTokens ?: 0
-    return ours + others
+    val fresh = report?.takeIf { now - it.at < REPORT_LIFE }
+    val others = fresh?.let { (it.waitingTokens - it.ownWaitingTokens).coerceAtLeast(0) } ?: 0
+    return ownWaitingTokens() + others
 }
 
+/** Returns the prompt tokens of this router's requests here whose first token has not come. */
+public fun EndpointState.ownWaitingTokens(): Long = own.values.filter { !it.hasBegun }.sumOf { it.missedTokens }
+
 /** Returns the endpoint after [work] was sent to it. */
 public fun EndpointState.began(id: RequestId, work: OwnWork): EndpointState = copy(own = own.put(id, work))
 
@@ -83,8 +99,8 @@
 public fun EndpointState.answered(id: RequestId, firstToken: Duration): EndpointState {
     val work = own[id] ?: return this
     val begun = copy(own = own.put(id, work.copy(hasBegun = true)), failures = 0)
-    if (work.missedTokens < SMALLEST_SAMPLE_TOKENS) return begun
-    val sample = firstToken / work.missedTokens.toDouble()
+    if (work.aheadTokens < SMALLEST_SAMPLE_TOKENS) return begun
+    val sample = firstToken / work.aheadTokens.toDouble()
     return begun.copy(tokenCost = tokenCost * (1 - COST_WEIGHT) + sample * COST_WEIGHT)
 }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
@@ -57,7 +57,10 @@
 /** A request that was taken out, and the rest. */
 public data class Taken(public val request: Waiting, public val rest: FairQueue)
 
-/** Returns the first request in fair order that [isEligible], or `null`. Only the first of each workspace is asked about. */
+/** How many requests of each workspace are looked at: one that waits for an endpoint must not hold up those that need not. */
+private const val LOOK_AHEAD = 8
+
+/** Returns the first request in fair order that [isEligible], or `null`. Of each workspace the first [LOOK_AHEAD] are asked about. */
 public fun FairQueue.takeOrNull(isEligible: (Waiting) -> Boolean): Taken? =
     RequestClass.entries.firstNotNullOfOrNull { name ->
         classes[name]?.takeOrNull(isEligible)?.let { (request, rest) -> Taken(request, withClass(name, rest)) }
@@ -67,13 +70,18 @@
 
 private fun ClassQueue.takeOrNull(isEligible: (Waiting) -> Boolean): TakenFromClass? {
     val ordered = workspaces.entries.sortedWith(compareBy({ maxOf(virtual, it.value.finish) }, { it.key }))
-    val chosen = ordered.firstOrNull { (_, queue) -> queue.waiting.firstOrNull()?.let(isEligible) ?: false } ?: return null
-    val request = chosen.value.waiting.first()
-    val start = maxOf(virtual, chosen.value.finish)
+    return ordered.firstNotNullOfOrNull { (owner, queue) ->
+        val position = queue.waiting.take(LOOK_AHEAD).indexOfFirst(isEligible)
+        if (position < 0) null else take(owner, queue, position)
+    }
+}
+
+private fun ClassQueue.take(owner: WorkspaceName, queue: WorkspaceQueue, position: Int): TakenFromClass {
+    val request = queue.waiting[position]
+    val start = maxOf(virtual, queue.finish)
     val finish = start + request.facts.tokens * VIRTUAL_UNITS / request.weight.coerceAtLeast(1)
-    val shorter = WorkspaceQueue(finish, chosen.value.waiting.removeAt(0))
-    val rest = ClassQueue(start, workspaces.put(chosen.key, shorter)).withoutIdle()
-    return TakenFromClass(request, rest)
+    val shorter = WorkspaceQueue(finish, queue.waiting.removeAt(position))
+    return TakenFromClass(request, ClassQueue(start, workspaces.put(owner, shorter)).withoutIdle())
 }
 
 /** Workspaces without requests whose last one ended in the past need not be remembered. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -228,17 +228,19 @@
 private fun RoutingState.onReported(input: EndpointReported, place: PlaceRequest, now: Moment): RoutingStep {
     val known = endpoints[input.endpoint] ?: return unchanged()
     val isRestarted = known.incarnation != null && known.incarnation != input.incarnation
-    val isMoved = known.weights != null && known.weights != input.weights
+    val isMoved = known.weights != input.weights
     val current = if (isRestarted) onDeath(input.endpoint, now) else unchanged()
     return current.then { state ->
-        val cleared = if (isMoved) state.copy(knowledge = state.knowledge.forget(input.endpoint)) else state
-        cleared
-            .withEndpoint(input.endpoint) { endpoint ->
-                endpoint.identified(input.incarnation, input.weights).copy(
-                    isLeaving = input.isLeaving,
-                    report = LoadReport(now, input.running, input.waitingTokens, endpoint.own.size),
-                )
-            }.drain(known.service, place, now)
+        val reported = state.takeReport(input, isMoved && known.weights != null, now)
+        if (known.isUsable(now) && !isMoved) reported.unchanged() else reported.drain(known.service, place, now)
+    }
+}
+
+private fun RoutingState.takeReport(input: EndpointReported, isMoved: Boolean, now: Moment): RoutingState {
+    val cleared = if (isMoved) copy(knowledge = knowledge.forget(input.endpoint)) else this
+    return cleared.withEndpoint(input.endpoint) { endpoint ->
+        val report = LoadReport(now, input.running, input.waitingTokens, endpoint.own.size, endpoint.ownWaitingTokens())
+        endpoint.identified(input.incarnation, input.weights).copy(isLeaving = input.isLeaving, report = report)
     }
 }
 
