Leave silent endpoints for a while, report evidence of moves only, and measure

Ruled out: the route's gap as limit for whole answers, which may take long without a byte; the event stream as sign of life, since it went on. Not shown again: how long a whole answer waits on silence.

--- a/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
@@ -63,18 +63,24 @@
         }
     }
 
-    @Test
-    fun `a disk that votes as its old self after it was lost does lose an entry, so the property above can fail`() {
+    /** An entry is acknowledged by two of three; then the leader dies, and the other one that holds the entry loses its disk. */
+    private fun loseAcknowledgedHolder(asOldSelf: Boolean): ReplicaGroup {
         val group = ReplicaGroup(names, Random(1))
         group.calm(3.seconds) { group.leaderOrNull() != null }
         val leader = group.leaderOrNull()!!
         val (partner, outsider) = group.replicas.filter { it !== leader }
-        group.cuts = setOf(leader.vm to outsider.vm, outsider.vm to leader.vm, partner.vm to outsider.vm, outsider.vm to partner.vm)
+        group.cuts = listOf(leader, partner).flatMap { listOf(it.vm to outsider.vm, outsider.vm to it.vm) }.toSet()
         group.propose()
         group.calm(100.milliseconds)
         group.crash(leader)
-        group.loseDisk(partner, asOldSelf = true)
+        group.loseDisk(partner, asOldSelf)
         group.cuts = emptySet()
+        return group
+    }
+
+    @Test
+    fun `a disk that votes as its old self after it was lost does lose an entry, so the property above can fail`() {
+        val group = loseAcknowledgedHolder(asOldSelf = true)
         assertThrows<AgreementBroken> {
             group.calm(3.seconds)
             group.propose()
@@ -84,16 +90,7 @@
 
     @Test
     fun `a lost disk comes back as a new replica and keeps the acknowledged entry in the same history`() {
-        val group = ReplicaGroup(names, Random(1))
-        group.calm(3.seconds) { group.leaderOrNull() != null }
-        val leader = group.leaderOrNull()!!
-        val (partner, outsider) = group.replicas.filter { it !== leader }
-        group.cuts = setOf(leader.vm to outsider.vm, outsider.vm to leader.vm, partner.vm to outsider.vm, outsider.vm to partner.vm)
-        group.propose()
-        group.calm(100.milliseconds)
-        group.crash(leader)
-        group.loseDisk(partner)
-        group.cuts = emptySet()
+        val group = loseAcknowledgedHolder(asOldSelf = false)
         group.calm(3.seconds)
         group.heal()
         expectThat(group.calm(10.seconds) { group.isRedundant() && group.holdsAllCommitted() }).isTrue()
--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -91,6 +91,7 @@
     }
     val settings = readCheckedFile(Path.of(options.settings), read).fold(
         ifLeft = { refused ->
+            System.err.println("$program: ${EventKind.SETTINGS_REFUSED.number} the settings are refused")
             System.err.println(refused.describe())
             exitProcess(ExitStatus.USAGE)
         },
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -70,37 +70,21 @@
         else -> commonPage(exchange) ?: unknownPage(exchange.head.path)
     }
 
-    private fun isLeading(): Boolean = desk.published.get().isLeading(desk.status.get(), clock())
-
-    private fun configuration(): WholeAnswer {
-        if (!isLeading()) {
-            return notLeader(
-                desk.status
-                    .get()
-                    .leader
-                    ?.text,
-            )
-        }
-        val configurations = desk.published
-            .get()
-            .machine.configurations
-        return json(ConfigurationReply.serializer(), ConfigurationReply(configurations.number, configurations.declarations))
+    private fun ifLeading(page: (DeskState) -> WholeAnswer): WholeAnswer {
+        val state = desk.published.get()
+        val status = desk.status.get()
+        return if (state.isLeading(status, clock())) page(state) else notLeader(status.leader?.text)
     }
 
-    private fun inForce(wanted: Long?): WholeAnswer {
-        if (!isLeading()) {
-            return notLeader(
-                desk.status
-                    .get()
-                    .leader
-                    ?.text,
-            )
-        }
-        val state = desk.published.get()
-        val leases = state.leadership?.leases ?: return notLeader(null)
+    private fun configuration(): WholeAnswer = ifLeading { state ->
+        val configurations = state.machine.configurations
+        json(ConfigurationReply.serializer(), ConfigurationReply(configurations.number, configurations.declarations))
+    }
+
+    private fun inForce(wanted: Long?): WholeAnswer = ifLeading { state ->
         val revision = wanted ?: state.machine.published.revision
-        val report = leases.report(revision, clock())
-        return json(ForceReply.serializer(), ForceReply(revision, report.confirmed, report.live, report.isEverywhere))
+        val report = checkNotNull(state.leadership) { "a leader knows its leases" }.leases.report(revision, clock())
+        json(ForceReply.serializer(), ForceReply(revision, report.confirmed, report.live, report.isEverywhere))
     }
 
     private fun status(): StatusReply {
@@ -110,7 +94,7 @@
         val membership = status.membership
         return StatusReply(
             vm = status.self.text,
-            leads = isLeading(),
+            leads = state.isLeading(status, clock()),
             leader = status.leader?.text,
             term = status.term,
             committed = status.committed,
--- a/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
@@ -33,7 +33,7 @@
 import sniperoute.version.message.WeightsVersion
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TICK = 100.milliseconds
+private val TICK = 250.milliseconds
 private val REOPEN_PAUSE = 250.milliseconds
 private val STREAM_SILENCE = 2_000.milliseconds
 private val PLATFORM_INTERVAL = 1_000.milliseconds
@@ -122,6 +122,7 @@
     private var events = newEventStream()
     private var lastSequence: Long? = null
     private var isKnown = false
+    private var isLeaving = false
 
     val onEvent: OnCallEvent = { event ->
         when (event) {
@@ -141,6 +142,8 @@
     private fun tell(event: EngineEvent) {
         if (!isKnown) outlets.recorder.record(EventKind.ENDPOINT_UP, subject(event), "incarnation ${event.incarnation}")
         isKnown = true
+        if (event.leaving && !isLeaving) outlets.recorder.record(EventKind.ENDPOINT_LEAVING, subject(event), "by its own word")
+        isLeaving = event.leaving
         val weights = event.weights?.let(::WeightsVersion)
         outlets.routing.offer(
             EndpointReported(stream.endpoint, event.incarnation, weights, event.running, event.waitingTokens, event.leaving),
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -19,6 +19,8 @@
 import sniperoute.router.message.EvidenceChanged
 import sniperoute.router.message.SessionInput
 import sniperoute.router.message.TokensWanted
+import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.isRunning
 import sniperoute.version.decision.toReport
 import sniperoute.version.message.TokenRequest
 import sniperoute.version.message.TokenReturn
@@ -26,7 +28,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TICK = 20.milliseconds
+private val TICK = 50.milliseconds
 
 /** The runs under way, by request. */
 internal typealias RunRegistry = ConcurrentHashMap<RequestId, RequestRun>
@@ -50,10 +52,19 @@
     val step = state.step(place, now, input)
     outlets.published.set(step.state)
     step.orders.forEach(outlets::carryOut)
-    if (step.state.evidence !== state.evidence) outlets.session.offer(EvidenceChanged(step.state.evidence.toReport()))
+    if (step.state.evidence !== state.evidence) outlets.session.offer(EvidenceChanged(step.state.wantedEvidence().toReport()))
     step.state
 }
 
+/** Only services that are being moved have their evidence reported, so that a session costs nothing for the others. */
+private fun RoutingState.wantedEvidence(): EvidenceTable {
+    val moving = view.catalogue.moves.values
+        .filter { it.isRunning }
+        .map { it.service }
+        .toSet()
+    return evidence.keys.filter { it.service !in moving }.fold(evidence) { table, key -> table.remove(key) }
+}
+
 private fun RoutingOutlets.carryOut(order: RoutingOrder) {
     when (order) {
         is Dispatch -> tell(order.id, order)
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -34,7 +34,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TICK = 50.milliseconds
+private val TICK = 100.milliseconds
 
 /** The session as the rest of the router sees it. */
 internal class SessionDuty(
--- a/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
@@ -95,4 +95,10 @@
                 .size,
         ).isEqualTo(EventKind.entries.size)
     }
+
+    @Test
+    fun `every event is recorded somewhere`() {
+        val unused = EventKind.entries.filter { kind -> sources.none { "EventKind.${kind.name}" in it.text } }
+        expectThat(unused).isEmpty()
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -129,6 +129,13 @@
 /** Returns the endpoint after it was found dead at [now]. */
 public fun EndpointState.died(now: Moment): EndpointState = copy(diedAt = now, broken = broken.clear())
 
-/** Returns the endpoint after it reported itself as [newIncarnation] with [newWeights]. */
-public fun EndpointState.identified(newIncarnation: String, newWeights: WeightsVersion?): EndpointState =
-    copy(incarnation = newIncarnation, weights = newWeights, downUntil = Moment.EARLIEST, failures = 0)
+/** Returns the endpoint after a connection to it went silent at [now]; its events may go on all the same. */
+public fun EndpointState.silent(now: Moment): EndpointState = copy(failures = failures + 1, downUntil = now + SILENCE_REST)
+
+private val SILENCE_REST = 10.seconds
+
+/** Returns the endpoint after it reported itself as [newIncarnation] with [newWeights]. Only a new run ends its rest. */
+public fun EndpointState.identified(newIncarnation: String, newWeights: WeightsVersion?): EndpointState {
+    val named = copy(incarnation = newIncarnation, weights = newWeights)
+    return if (newIncarnation == incarnation) named else named.copy(downUntil = Moment.EARLIEST, failures = 0)
+}
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -16,9 +16,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * A request to be placed among [candidates], all of which may get it, though some may have no slot free. [heldPieces] says how many leading pieces of its prompt
- * each endpoint is believed to hold, [sharing] how many requests in work have the same whole pieces; [sequence] counts the
- * placements before this one.
+ * A request to be placed among [candidates], all of which may get it, though some may have no slot free. [heldPieces] says how
+ * many leading pieces of its prompt each endpoint is believed to hold, [sharing] how many requests in work have the same whole
+ * pieces; [sequence] counts the placements before this one.
  */
 public class PlacementQuestion(
     public val facts: RequestFacts,
@@ -48,7 +48,7 @@
  */
 public fun soonestToken(recomputeWeight: Double): PlaceRequest = { question, now ->
     val subject = question.facts.chain.firstOrNull() ?: question.facts.hash
-    val weight = (recomputeWeight / (1 + question.sharing)).coerceAtLeast(1.0)
+    val weight = (recomputeWeight / (1 + question.sharing.squaredOver(FEW_SHARING))).coerceAtLeast(1.0)
     question.candidates
         .map { candidate -> question.expect(candidate, subject, weight, now) }
         .minWithOrNull(compareBy<Expectation> { it.equalTimes }.thenByDescending { it.weight })
@@ -56,6 +56,11 @@
         ?.placement
 }
 
+/** Up to about this many requests that share a prompt's pieces do not make it hot. */
+private const val FEW_SHARING = 4.0
+
+private fun Int.squaredOver(unit: Double): Double = (this / unit) * (this / unit)
+
 /** How much a token that is computed again counts in the usual policy. */
 public const val USUAL_RECOMPUTE_WEIGHT: Double = 16.0
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -147,7 +147,7 @@
         Reach.NOT_RUN -> judged.onDeath(run.endpoint, now)
         Reach.REJECTED -> judged.withEndpoint(run.endpoint) { it.failed(now) }.unchanged()
         Reach.BROKEN -> judged.onBroken(endpoint, run.facts.digest, now)
-        Reach.SILENT -> judged.unchanged()
+        Reach.SILENT -> judged.withEndpoint(run.endpoint) { it.silent(now) }.unchanged()
         Reach.WRONG -> judged.unchanged()
     }
 }
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -182,10 +182,18 @@
         fresh = isFresh || facts.route.repetition == Repetition.ONCE_ONLY,
     )
 
-    /** A streamed answer must go on within the route's gap; a whole one may take until the deadline. */
+    /**
+     * A streamed answer must go on within the route's gap. A whole one may take until the deadline; if it may be repeated, half
+     * of the time left, so that there is time for another attempt.
+     */
     private fun gap(): Duration {
-        if (passed.wantsStream) return facts.route.gapMilliseconds.milliseconds
-        return (facts.deadline - outlets.clock()).coerceAtLeast(SHORTEST_WAIT)
+        val gap = facts.route.gapMilliseconds.milliseconds
+        val left = (facts.deadline - outlets.clock()).coerceAtLeast(SHORTEST_WAIT)
+        return when {
+            passed.wantsStream -> gap
+            facts.route.repetition == Repetition.REPEATABLE -> maxOf(gap, left / 2)
+            else -> left
+        }
     }
 
     private fun passedHeaders(dispatch: Dispatch) = buildList {
--- a/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
@@ -173,6 +173,20 @@
         expectThat(List(2) { failing.send(facts("c$it")).place() }.contains(bad)).isEqualTo(false)
     }
 
+    @Test
+    fun `an endpoint that went silent on a connection gets nothing new for a while, though its events go on`() {
+        val router = driver(engines = 2)
+        val silent = router.send(facts("1")).place()!!
+        router.end("1", Unanswered(Reach.SILENT, true, "nothing came"))
+        router.end("1")
+        repeat(20) { number ->
+            router.now += 100.milliseconds
+            router.report(silent)
+            expectThat(router.send(facts("s$number", at = router.now)).place()).isNotEqualTo(silent)
+            router.end("s$number")
+        }
+    }
+
     @Test
     fun `a request that broke when its endpoint died is reported, and given up at the second death`() {
         val router = driver()
