--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
+import java.net.URLDecoder
 
 /** One header of a request or an answer; names are lower case. */
 public data class Header(public val name: String, public val value: String)
@@ -26,7 +27,7 @@
         .split('&')
         .firstOrNull { it.substringBefore('=') == name }
         ?.substringAfter('=', "")
-        ?.let { java.net.URLDecoder.decode(it, Charsets.UTF_8) }
+        ?.let { URLDecoder.decode(it, Charsets.UTF_8) }
 
 /** The head of an answer. */
 public data class AnswerHead(public val status: Int, public val headers: ImmutableList<Header> = persistentListOf())
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.ssl.SslContextBuilder
 import io.netty.handler.timeout.IdleStateHandler
 import sniperoute.process.duty.namedThreads
+import java.net.InetSocketAddress
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -50,7 +51,7 @@
 /** A listening server. */
 public class HttpServer internal constructor(private val channel: Channel) {
     /** The port on which it listens. */
-    public val port: Int get() = (channel.localAddress() as java.net.InetSocketAddress).port
+    public val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
     /** Stops listening; open connections stay. */
     public fun stopListening() {
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.connection.peer
 
+import arrow.core.Either
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
@@ -65,7 +66,7 @@
 
 /** Runs a link until it ends, and returns why it did. */
 internal suspend fun Socket.runLink(
-    handshake: suspend LinkChannels.() -> arrow.core.Either<LinkRefused, Handshaken>,
+    handshake: suspend LinkChannels.() -> Either<LinkRefused, Handshaken>,
     handlers: PeerHandlers,
 ) {
     val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false))
--- a/process/src/main/kotlin/sniperoute/process/settings/PlacedValues.kt
+++ b/process/src/main/kotlin/sniperoute/process/settings/PlacedValues.kt
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
+import com.fasterxml.jackson.core.StreamReadFeature
 import com.fasterxml.jackson.core.json.JsonReadFeature
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -43,7 +44,7 @@
     .builder()
     .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
     .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-    .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
     .build()
 
 /** Returns the value that [text] holds, or the one place where it is no JSON. */
--- a/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import sniperoute.process.settings.ObjectReader
 import java.io.IOException
@@ -134,10 +135,10 @@
     return SSLContext.getInstance("TLS").apply { init(null, trust.trustManagers, null) }
 }
 
-@kotlinx.serialization.Serializable
+@Serializable
 private data class ErrorBody(val error: ErrorPart)
 
-@kotlinx.serialization.Serializable
+@Serializable
 private data class ErrorPart(val message: String)
 
 private fun errorMessageIn(body: String): String =
--- a/programs/common/src/main/kotlin/sniperoute/common/CommonSettings.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/CommonSettings.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.common
 
+import kotlinx.collections.immutable.ImmutableList
 import sniperoute.connection.http.TlsFiles
 import sniperoute.connection.peer.PeerAddress
 import sniperoute.process.identity.FailureDomain
@@ -46,7 +47,7 @@
 }
 
 /** Reads the control replicas. */
-public fun ObjectReader.controlPeers(): kotlinx.collections.immutable.ImmutableList<PeerAddress> =
+public fun ObjectReader.controlPeers(): ImmutableList<PeerAddress> =
     objects("controlReplicas") {
         PeerAddress(VmName(text("vm", form = NAME_FORM)), text("host"), whole("port", 1L..PORT_RANGE.last).toInt())
     }
@@ -54,7 +55,7 @@
 private val DIGEST_FORM = Regex("[0-9a-f]{64}")
 
 /** Reads who may see and change things. */
-public fun ObjectReader.operators(): kotlinx.collections.immutable.ImmutableList<Operator> =
+public fun ObjectReader.operators(): ImmutableList<Operator> =
     objects("operators") { Operator(text("name", form = NAME_FORM), text("sha256", form = DIGEST_FORM)) }
 
 private const val SHORTEST_SECRET = 32
--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -13,6 +13,7 @@
 import sniperoute.process.settings.readCheckedFile
 import sniperoute.process.timeline.Recorder
 import sniperoute.process.timeline.message.EventKind
+import java.io.PrintStream
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
@@ -67,7 +68,7 @@
 }
 
 /** Prints how to use [program] to [stream]. */
-public fun CmdLineParser.printUsage(program: String, stream: java.io.PrintStream) {
+public fun CmdLineParser.printUsage(program: String, stream: PrintStream) {
     stream.println("usage: $program${printExample(org.kohsuke.args4j.OptionHandlerFilter.PUBLIC)} ...")
     printUsage(stream)
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
@@ -10,6 +10,7 @@
 import sniperoute.common.failTogether
 import sniperoute.common.serverSettings
 import sniperoute.connection.endpoint.endpointClient
+import sniperoute.connection.http.HttpServer
 import sniperoute.connection.http.serve
 import sniperoute.connection.http.startHttpThreads
 import sniperoute.connection.peer.dial
@@ -24,8 +25,10 @@
 import sniperoute.process.agreement.decision.*
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.agreement.message.ReplicaIdentity
+import sniperoute.process.clock.Clock
 import sniperoute.process.clock.systemClock
 import sniperoute.process.identity.DiskIdentity
+import sniperoute.process.identity.VmName
 import sniperoute.process.identity.newIncarnation
 import sniperoute.process.identity.randomBits
 import sniperoute.process.metrics.gauge
@@ -58,7 +61,7 @@
 }
 
 /** Every VM's first replica has an identity that follows from its name, so that the first members know each other. */
-private fun foundingIdentity(vm: sniperoute.process.identity.VmName): ReplicaIdentity =
+private fun foundingIdentity(vm: VmName): ReplicaIdentity =
     ReplicaIdentity(
         vm,
         DiskIdentity(
@@ -107,7 +110,7 @@
     private val settings: ControlSettings,
     private val opened: OpenedFolder,
     private val recorder: Recorder,
-    private val clock: sniperoute.process.clock.Clock,
+    private val clock: Clock,
 ) {
     private val recovered = opened.recovered
     private val identity = ReplicaIdentity(settings.location.vm, recovered.disk)
@@ -186,7 +189,7 @@
         settings.replicas.filter { it.vm != identity.vm }.forEach { network.dial(name, it, secret, links.dialerHandlers()) }
     }
 
-    private fun serveOperators(desk: DeskDuty): sniperoute.connection.http.HttpServer {
+    private fun serveOperators(desk: DeskDuty): HttpServer {
         listOf(agreementRing, storageRing, deskRing).forEach(metrics::watch)
         metrics.gauge("sniperoute_agreement_term", "The agreement's term.") { status.get().term.toDouble() }
         metrics.gauge("sniperoute_agreement_committed", "The last committed entry.") { status.get().committed.toDouble() }
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -32,6 +32,7 @@
 import sniperoute.control.decision.*
 import sniperoute.control.message.*
 import sniperoute.process.clock.Clock
+import sniperoute.process.clock.Moment
 import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.timeline.Recorder
 import sniperoute.version.codec.digest
@@ -158,7 +159,7 @@
         }
     }
 
-    private fun startMove(form: MoveForm, now: sniperoute.process.clock.Moment, operator: String): Either<WholeAnswer, Command> = either {
+    private fun startMove(form: MoveForm, now: Moment, operator: String): Either<WholeAnswer, Command> = either {
         val to = ensureNotNull(form.to) { malformed("\"to\" is missing") }
         val deadline = ensureNotNull(form.deadlineMilliseconds) { malformed("\"deadlineMilliseconds\" is missing") }
         ensure(deadline in SHORTEST_MOVE..LONGEST_MOVE) { malformed("the deadline must be $SHORTEST_MOVE to $LONGEST_MOVE milliseconds") }
--- a/programs/standin/src/main/kotlin/sniperoute/standin/PlainServices.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/PlainServices.kt
@@ -16,6 +16,7 @@
 import sniperoute.connection.http.codec.errorAnswer
 import sniperoute.connection.http.codec.jsonAnswer
 import sniperoute.connection.http.valueOrNull
+import sniperoute.process.duty.namedThreads
 import sniperoute.standin.engine.codec.CountsPage
 import sniperoute.standin.engine.codec.FaultSwitches
 import sniperoute.standin.engine.codec.standinJson
@@ -29,7 +30,7 @@
     private val calls = AtomicReference(persistentMapOf<String, Long>())
     private val faults = AtomicReference(FaultSwitches())
     private val keysSeen = AtomicLong()
-    private val later = Executors.newSingleThreadScheduledExecutor(sniperoute.process.duty.namedThreads("service"))
+    private val later = Executors.newSingleThreadScheduledExecutor(namedThreads("service"))
 
     /** Answers [exchange]; each POST runs the call that its body names, and counts it. */
     public fun handle(exchange: Exchange) {
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
@@ -17,6 +17,7 @@
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.HttpStatus
 import sniperoute.connection.http.startHttpThreads
+import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Moment
 import sniperoute.process.clock.systemClock
 import sniperoute.process.settings.ObjectReader
@@ -138,7 +139,7 @@
 private class SampleListener(
     private val request: TraceRequest,
     private val due: Moment,
-    private val clock: sniperoute.process.clock.Clock,
+    private val clock: Clock,
     private val done: (Sample) -> Unit,
 ) {
     private var status = 0
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -8,11 +8,14 @@
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.isReady
+import sniperoute.request.prefix.decision.cacheKey
 import sniperoute.request.routing.message.AskTokens
 import sniperoute.request.routing.message.Dispatch
 import sniperoute.request.routing.message.GiveBackTokens
+import sniperoute.request.routing.message.GiveUp
 import sniperoute.request.routing.message.Refuse
 import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
 import sniperoute.version.decision.chosenWeightsOrNull
 import sniperoute.version.decision.currentWeightsOrNull
 import sniperoute.version.message.Service
@@ -131,10 +134,7 @@
 }
 
 internal fun List<Long>.cacheKeys(weights: WeightsVersion): List<Long> =
-    map {
-        sniperoute.request.prefix.decision
-            .cacheKey(it, weights)
-    }
+    map { cacheKey(it, weights) }
 
 /** Returns the state after asking for the tokens that requests of [service] wait for. */
 internal fun RoutingState.balanceWaiting(service: ServiceName, now: Moment): RoutingStep =
@@ -174,10 +174,9 @@
     return refused.fold(next.unchanged()) { step, (id, refusal) -> step.order(refuse(id, refusal)) }
 }
 
-private fun RoutingState.refuse(id: sniperoute.request.routing.message.RequestId, refusal: Refusal) =
+private fun RoutingState.refuse(id: RequestId, refusal: Refusal) =
     if (id in retries) {
-        sniperoute.request.routing.message
-            .GiveUp(id, refusal.message)
+        GiveUp(id, refusal.message)
     } else {
         Refuse(id, refusal)
     }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
@@ -15,10 +16,12 @@
 import sniperoute.version.decision.addAnswer
 import sniperoute.version.decision.addFailure
 import sniperoute.version.decision.noEvidence
+import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.Repetition
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.Service
+import sniperoute.version.message.ServiceName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -52,7 +55,7 @@
     return checked.then { it.drainAll(place, now) }
 }
 
-private fun kotlinx.collections.immutable.PersistentMap<RequestDigest, Moment>.withoutOlder(now: Moment) =
+private fun PersistentMap<RequestDigest, Moment>.withoutOlder(now: Moment) =
     entries.filter { now - it.value > SUSPICION_LIFE }.fold(this) { all, old -> all.remove(old.key) }
 
 private fun RoutingState.balanceAll(now: Moment): RoutingStep =
@@ -90,7 +93,7 @@
     return if (service == null) next.unchanged() else next.drain(service, place, now)
 }
 
-private fun kotlinx.collections.immutable.PersistentMap<sniperoute.version.message.ServiceName, FairQueue>.mapValuesWithout(id: RequestId) =
+private fun PersistentMap<ServiceName, FairQueue>.mapValuesWithout(id: RequestId) =
     entries.fold(this) { all, (service, queue) ->
         if (queue.all().any { it.facts.id == id }) all.put(service, queue.without(setOf(id))) else all
     }
@@ -216,10 +219,10 @@
     return copy(endpoints = kept, knowledge = gone.fold(knowledge, CacheKnowledge::forget))
 }
 
-private fun newEndpoint(service: Service, endpoint: sniperoute.version.message.Endpoint): EndpointState =
+private fun newEndpoint(service: Service, endpoint: Endpoint): EndpointState =
     EndpointState(endpoint, service.name, service.kind)
 
-private fun EndpointState.redeclared(service: Service, declared: sniperoute.version.message.Endpoint): EndpointState =
+private fun EndpointState.redeclared(service: Service, declared: Endpoint): EndpointState =
     copy(endpoint = declared, service = service.name, kind = service.kind)
 
 private fun RoutingState.onTokens(input: TokensGranted, place: PlaceRequest, now: Moment): RoutingStep =
--- a/version/src/main/kotlin/sniperoute/version/decision/Evidence.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Evidence.kt
@@ -13,6 +13,7 @@
 import sniperoute.version.message.RouteName
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
+import kotlin.math.log2
 
 /** How many buckets of first-token times there are; the last one holds all longer times. */
 public const val FIRST_TOKEN_BUCKETS: Int = 64
@@ -22,7 +23,7 @@
 /** Returns the bucket of a first-token time; four buckets a doubling, the first below a millisecond. */
 public fun firstTokenBucket(milliseconds: Double): Int {
     if (milliseconds < 1.0) return 0
-    val doublings = kotlin.math.log2(milliseconds)
+    val doublings = log2(milliseconds)
     return (1 + doublings * BUCKETS_PER_DOUBLING).toInt().coerceAtMost(FIRST_TOKEN_BUCKETS - 1)
 }
 
