Report a repair once, when a voter that was missing is there and complete

Cause: a picture of the time line, looked at for the first time, showed REDUNDANCY_RESTORED every second: a follower that lacks the newest entry for some milliseconds counted as a missing voter. Ruled out: lost voters; all were linked in the same picture. Change: redundancy tells apart a missing voter and one that is catching up; the event follows only on a missing one. Test for entries on their way; the picture stands for its failing, the test was only seen to pass.

--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
@@ -60,7 +60,10 @@
     /** Every voter that should be there is there and holds on its disk all that is committed. */
     FULL,
 
-    /** A voter is missing or behind: losing another VM may stop the agreement. */
+    /** Every voter is there, but one still lacks entries that were committed. */
+    CATCHING_UP,
+
+    /** A voter is missing: losing another VM may stop the agreement. */
     REDUCED,
 
     /** This replica does not lead, so it can't tell. */
@@ -72,9 +75,11 @@
     val leader = role as? Leader ?: return Redundancy.UNKNOWN
     val voters = log.membership.voters
     val isComplete = voters.map { it.vm }.containsAll(settings.voterVms)
-    val isCurrent = voters.filter { it != self }.all { voter ->
-        val progress = leader.progress[voter]
-        progress != null && progress.matched >= committed && now - progress.answered < settings.electionMaximum
+    val others = voters.filter { it != self }.map { leader.progress[it] }
+    val areHeard = others.all { it != null && now - it.answered < settings.electionMaximum }
+    return when {
+        !isComplete || !areHeard || log.membershipIndex > committed -> Redundancy.REDUCED
+        others.all { it != null && it.matched >= committed } -> Redundancy.FULL
+        else -> Redundancy.CATCHING_UP
     }
-    return if (isComplete && isCurrent && log.membershipIndex <= committed) Redundancy.FULL else Redundancy.REDUCED
 }
--- a/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
@@ -15,6 +15,8 @@
 import sniperoute.process.agreement.decision.Follower
 import sniperoute.process.agreement.decision.HandOver
 import sniperoute.process.agreement.decision.Leader
+import sniperoute.process.agreement.decision.Redundancy
+import sniperoute.process.agreement.decision.redundancy
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -147,6 +149,24 @@
         expectThat(group.leaderOrNull()!!.state!!.term).isEqualTo(term)
     }
 
+    @Test
+    fun `entries on their way do not count as a missing voter`() {
+        val group = ReplicaGroup(names, Random(13))
+        expectThat(group.calm(5.seconds) { group.isRedundant() }).isTrue()
+        val seen = (1..200).map {
+            group.propose()
+            group.pass(5.milliseconds)
+            group.replicas.forEach { group.sync(it) }
+            group.deliver(0)
+            group
+                .leaderOrNull()!!
+                .state!!
+                .redundancy(group.now)
+                .also { group.calm(5.milliseconds) }
+        }
+        expectThat(seen.contains(Redundancy.REDUCED)).isEqualTo(false)
+    }
+
     @Test
     fun `a planned stop hands leadership over without an election timeout`() {
         val group = ReplicaGroup(names, Random(9))
--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -33,7 +33,10 @@
     val broadcast: (AgreementMessage) -> Unit,
     val status: AtomicReference<AgreementStatus>,
     val recorder: Recorder,
-)
+) {
+    /** Whether a voter was last seen missing; only the agreement duty touches it. */
+    var wasReduced: Boolean = false
+}
 
 /** Returns the duty that owns [initial]. */
 internal fun startAgreementDuty(
@@ -46,7 +49,7 @@
     val transition = state.step(now, input ?: Tick)
     outlets.status.set(transition.state.toStatus(now))
     transition.orders.forEach { outlets.carryOut(it) }
-    outlets.noteMembership(state, transition.state, now)
+    outlets.noteRedundancy(transition.state, now)
     transition.state
 }
 
@@ -87,9 +90,13 @@
 
 private fun Membership.describe(): String = "voters ${voters.joinToString()}, learners ${learners.joinToString()}"
 
-private fun AgreementOutlets.noteMembership(before: AgreementState, after: AgreementState, now: Moment) {
-    val isRepaired = after.role is Leader &&
-        before.redundancy(now) == Redundancy.REDUCED &&
-        after.redundancy(now) == Redundancy.FULL
-    if (isRepaired) recorder.record(EventKind.REDUNDANCY_RESTORED, detail = after.log.membership.describe())
+private fun AgreementOutlets.noteRedundancy(state: AgreementState, now: Moment) {
+    when (state.redundancy(now)) {
+        Redundancy.REDUCED -> wasReduced = true
+        Redundancy.FULL -> {
+            if (wasReduced) recorder.record(EventKind.REDUNDANCY_RESTORED, detail = state.log.membership.describe())
+            wasReduced = false
+        }
+        Redundancy.CATCHING_UP, Redundancy.UNKNOWN -> Unit
+    }
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -100,7 +100,9 @@
             term = status.term,
             committed = status.committed,
             applied = state.applied,
-            redundancy = status.redundancy.name.lowercase(),
+            redundancy = status.redundancy.name
+                .lowercase()
+                .replace('_', ' '),
             configuration = machine.configurations.number,
             digest = machine.configurations.declarations?.digest(),
             revision = machine.published.revision,
