--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -7,7 +7,7 @@
 
 # Builds the archive when it is older than the sources, and unpacks it into the run's folder.
 unpack() {
-  archive="$root/programs/target/sniperoute-$version.tar.gz"
+  archive="$root/target/sniperoute-programs/sniperoute-$version.tar.gz"
   if [ ! -e "$archive" ] || [ -n "$(find "$root/process" "$root/version" "$root/connection" "$root/request" "$root/programs" "$root/pom.xml" \
       \( -name '*.kt' -o -name 'pom.xml' -o -path '*/launchers/*' \) -not -path '*/target/*' -newer "$archive" -print -quit)" ]; then
     echo "building"
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
@@ -33,16 +33,20 @@
 /** Starts a call; [onEvent] is told what happens to it. */
 public typealias CallEndpoint = (call: EndpointCall, onEvent: OnCallEvent) -> RunningCall
 
-private val CONNECT_PATIENCE: Duration = 1_000.milliseconds
+/** Endpoints are a few milliseconds away; one that does not accept a connection by then is taken for gone. */
+private val CONNECT_PATIENCE: Duration = 300.milliseconds
+
+/** How an answer names the request that it belongs to: in the header [name], which successes must have when [isRequired]. */
+public data class EchoedId(public val name: String = "x-request-id", public val isRequired: Boolean = false)
 
 /** Makes calls to endpoints. Each call runs on the thread that started it, if that is one of [threads]. */
-public class EndpointClient internal constructor(private val threads: HttpThreads, private val clock: Clock) {
+public class EndpointClient internal constructor(private val threads: HttpThreads, private val clock: Clock, private val echo: EchoedId) {
     private val pools = ConcurrentHashMap<EventLoop, ConnectionPool>()
 
     /** Starts [call] and returns it. */
     public fun call(call: EndpointCall, onEvent: OnCallEvent): RunningCall {
         val loop = threads.group.firstOrNull { (it as EventLoop).inEventLoop() } as EventLoop? ?: threads.group.next() as EventLoop
-        val pool = pools.computeIfAbsent(loop) { ConnectionPool(loop, clock) }
+        val pool = pools.computeIfAbsent(loop) { ConnectionPool(loop, clock, echo) }
         val running = CallOnLoop(call, onEvent, loop, pool)
         if (loop.inEventLoop()) running.start() else loop.execute(running::start)
         return running
@@ -50,10 +54,11 @@
 }
 
 /** Returns a client that shares [threads]. */
-public fun endpointClient(threads: HttpThreads, clock: Clock): EndpointClient = EndpointClient(threads, clock)
+public fun endpointClient(threads: HttpThreads, clock: Clock, echo: EchoedId = EchoedId()): EndpointClient =
+    EndpointClient(threads, clock, echo)
 
 /** The idle connections of one thread. Only that thread touches it. */
-internal class ConnectionPool(private val loop: EventLoop, private val clock: Clock) {
+internal class ConnectionPool(private val loop: EventLoop, private val clock: Clock, private val echo: EchoedId) {
     private var idle: IdleConnections<Channel> = noIdleConnections()
 
     fun idleOrNull(address: EndpointAddress): Channel? {
@@ -64,8 +69,8 @@
         return if (channel.isActive) channel else idleOrNull(address)
     }
 
-    fun giveBack(address: EndpointAddress, channel: Channel) {
-        val choice = idle.add(address, channel, clock())
+    fun giveBack(address: EndpointAddress, channel: Channel, keptFor: Duration?) {
+        val choice = idle.add(address, channel, clock(), keptFor)
         idle = choice.rest
         choice.close.forEach { it.close() }
     }
@@ -88,7 +93,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_PATIENCE.inWholeMilliseconds.toInt())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), EndpointConnection(address, this@ConnectionPool))
+                    channel.pipeline().addLast(HttpClientCodec(), EndpointConnection(address, this@ConnectionPool, echo))
                 }
             })
             .connect(address.host, address.port)
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -28,14 +29,18 @@
 import sniperoute.connection.http.addAll
 import sniperoute.connection.http.toImmutable
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The call that a connection serves now. */
 private class ServedCall(val call: EndpointCall, val onEvent: OnCallEvent) {
     var isAnswering = false
     var isReusable = false
+    var isWritten = false
+    var keptFor: Duration? = null
 }
 
-internal class EndpointConnection(private val address: EndpointAddress, private val pool: ConnectionPool) :
+internal class EndpointConnection(private val address: EndpointAddress, private val pool: ConnectionPool, private val echo: EchoedId) :
     SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var served: ServedCall? = null
@@ -48,10 +53,12 @@
     /** Sends [call]; the connection must be idle. */
     fun begin(call: EndpointCall, onEvent: OnCallEvent) {
         check(served == null) { "the connection to $address serves a call already" }
-        served = ServedCall(call, onEvent)
+        val current = ServedCall(call, onEvent)
+        served = current
         watchSilence()
-        context.writeAndFlush(call.toRequest()).addListener { written ->
-            if (!written.isSuccess) fail(CallFailure.BROKEN, written.cause()?.message ?: "the write failed")
+        context.writeAndFlush(call.toRequest(echo)).addListener { written ->
+            current.isWritten = written.isSuccess
+            if (!written.isSuccess && served === current) fail(CallFailure.BROKEN, written.cause()?.message ?: "the write failed")
         }
     }
 
@@ -80,17 +87,26 @@
     }
 
     private fun begin(current: ServedCall, response: HttpResponse) {
-        val answered = response.headers().get("x-request-id")
+        val answered = response.headers().get(echo.name)
         val wanted = current.call.requestId
-        if (current.isAnswering || (answered != null && wanted != null && answered != wanted)) {
+        val isOther = wanted != null && answered != wanted && (answered != null || isMissed(response))
+        if (current.isAnswering || isOther) {
             return fail(CallFailure.CROSSED, "the answer names request $answered in place of $wanted")
         }
         current.isAnswering = true
         current.isReusable = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+        current.keptFor = response
+            .headers()
+            .get(HttpHeaderNames.KEEP_ALIVE)
+            ?.let(keepAliveForm::find)
+            ?.let { it.groupValues[1].toInt().seconds }
         current.onEvent(AnswerBegan(AnswerHead(response.status().code(), response.headers().toImmutable())))
     }
 
+    private fun isMissed(response: HttpResponse): Boolean =
+        echo.isRequired && response.status().codeClass() == HttpStatusClass.SUCCESS
+
     private fun take(current: ServedCall, content: HttpContent) {
         if (content.content().isReadable) {
             val bytes = ByteArray(content.content().readableBytes())
@@ -104,7 +120,8 @@
         served = null
         silence?.cancel(false)
         context.channel().config().isAutoRead = true
-        if (current.isReusable) pool.giveBack(address, context.channel()) else context.close()
+        val isReusable = current.isReusable && current.isWritten
+        if (isReusable) pool.giveBack(address, context.channel(), current.keptFor) else context.close()
         current.onEvent(Ended)
     }
 
@@ -142,12 +159,16 @@
     }
 }
 
-private fun EndpointCall.toRequest(): DefaultFullHttpRequest {
+private val keepAliveForm = Regex("timeout=(\\d{1,6})")
+
+private fun EndpointCall.toRequest(echo: EchoedId): DefaultFullHttpRequest {
     val content = Unpooled.wrappedBuffer(body)
     val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, content)
     request.headers().addAll(headers)
-    request.headers().set(HttpHeaderNames.HOST, "${address.host}:${address.port}")
-    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-    requestId?.let { request.headers().set("x-request-id", it) }
+    if (!request.headers().contains(HttpHeaderNames.HOST)) {
+        request.headers().set(HttpHeaderNames.HOST, "${address.host}:${address.port}")
+    }
+    if (body.isNotEmpty() || method != "GET") request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    requestId?.let { request.headers().set(echo.name, it) }
     return request
 }
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/IdleConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/IdleConnections.kt
@@ -10,13 +10,17 @@
 import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.process.clock.Moment
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val LONGEST_IDLE = 4_000.milliseconds
 private const val MOST_IDLE = 64
 
-/** An idle connection [handle], unused since [since]. */
-public data class IdleConnection<C>(public val handle: C, public val since: Moment)
+/** Between an endpoint's decision to close and its sign there is the way to here: a connection is left this long before its end. */
+private val CLOSING_MARGIN = 500.milliseconds
+
+/** An idle connection [handle], to be used again before [until]. */
+public data class IdleConnection<C>(public val handle: C, public val until: Moment)
 
 /** The idle connections of one thread, by address, the least recently used first. */
 public data class IdleConnections<C>(public val byAddress: PersistentMap<EndpointAddress, PersistentList<IdleConnection<C>>>)
@@ -30,16 +34,20 @@
 /** Returns which connection to [address] to use at [now]; the most recently used one, so that surplus ones age. */
 public fun <C> IdleConnections<C>.choose(address: EndpointAddress, now: Moment): IdleChoice<C> {
     val idle = byAddress[address] ?: return IdleChoice(null, persistentListOf(), this)
-    val (young, old) = idle.partition { now - it.since < LONGEST_IDLE }
+    val (young, old) = idle.partition { now < it.until }
     val chosen = young.lastOrNull()
     val rest = persistentListOf<IdleConnection<C>>().addAll(young.dropLast(1))
     return IdleChoice(chosen?.handle, persistentListOf<C>().addAll(old.map { it.handle }), withIdle(address, rest))
 }
 
-/** Returns the connections after [handle] to [address] became idle at [now]; what is too many is to be closed. */
-public fun <C> IdleConnections<C>.add(address: EndpointAddress, handle: C, now: Moment): IdleChoice<C> {
+/**
+ * Returns the connections after [handle] to [address] became idle at [now]; the endpoint keeps it for [keptFor], if it said so.
+ * What is too many is to be closed.
+ */
+public fun <C> IdleConnections<C>.add(address: EndpointAddress, handle: C, now: Moment, keptFor: Duration? = null): IdleChoice<C> {
     val idle = byAddress[address] ?: persistentListOf()
-    val all = idle.add(IdleConnection(handle, now))
+    val life = keptFor?.let { minOf(it - CLOSING_MARGIN, LONGEST_IDLE) } ?: LONGEST_IDLE
+    val all = idle.add(IdleConnection(handle, now + life))
     val surplus = all.take((all.size - MOST_IDLE).coerceAtLeast(0))
     val rest = persistentListOf<IdleConnection<C>>().addAll(all.drop(surplus.size))
     return IdleChoice(null, persistentListOf<C>().addAll(surplus.map { it.handle }), withIdle(address, rest))
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
@@ -8,8 +8,11 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 
-/** One event: its [id], or `null`, its [data], and the [bytes] that carried it, the blank line included. */
-public class ServerSentEvent(public val id: String?, public val data: String, public val bytes: ByteArray)
+/**
+ * One event: its [id], or `null`, its [data], and the [bytes] that carried it, the blank line included. One that [isComment] has
+ * no field at all.
+ */
+public class ServerSentEvent(public val id: String?, public val data: String, public val bytes: ByteArray, public val isComment: Boolean = false)
 
 /** The [rest] of a stream that is no whole event yet. */
 public class EventStreamState internal constructor(internal val rest: ByteArray)
@@ -40,7 +43,7 @@
     for (position in all.indices) {
         if (all[position] != LINE_FEED) continue
         if (isBlank(all, lineStart, position)) {
-            eventOrNull(all.copyOfRange(start, position + 1))?.let(events::add)
+            events.add(eventOf(all.copyOfRange(start, position + 1)))
             start = position + 1
         }
         lineStart = position + 1
@@ -52,7 +55,7 @@
 private fun isBlank(bytes: ByteArray, start: Int, end: Int): Boolean =
     start == end || (end == start + 1 && bytes[start] == CARRIAGE_RETURN)
 
-private fun eventOrNull(bytes: ByteArray): ServerSentEvent? {
+private fun eventOf(bytes: ByteArray): ServerSentEvent {
     val lines = bytes
         .decodeToString()
         .lineSequence()
@@ -61,7 +64,7 @@
         .toList()
     val data = lines.filter { it.startsWith("data") }.joinToString("\n") { it.fieldValue() }
     val id = lines.lastOrNull { it.startsWith("id") }?.fieldValue()
-    return if (lines.isEmpty()) null else ServerSentEvent(id, data, bytes)
+    return ServerSentEvent(id, data, bytes, isComment = lines.isEmpty())
 }
 
 private fun String.fieldValue(): String = substringAfter(':', "").removePrefix(" ")
--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -27,8 +27,10 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import sniperoute.connection.http.codec.errorAnswer
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 
-internal class CallerConnection(private val limits: HttpLimits, private val handle: HandleExchange) :
+internal class CallerConnection(private val limits: HttpLimits, private val isClosing: IsClosing, private val handle: HandleExchange) :
     SimpleChannelInboundHandler<FullHttpRequest>() {
     private var waiting: PersistentList<NettyExchange> = persistentListOf()
     private var current: NettyExchange? = null
@@ -37,8 +39,10 @@
         val failure = request.decoderResult().cause()
         when {
             failure != null -> context.refuse(statusOf(failure), "the request can't be read: ${failure.message}")
+            request.protocolVersion() !in spokenVersions -> context.refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
+            !request.namesOneHost() -> context.refuse(HttpResponseStatus.BAD_REQUEST, "one Host header is needed")
             waiting.size >= limits.waitingRequests -> context.refuse(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests wait here")
-            else -> enqueue(NettyExchange(context, request.toHead(), request.toBytes(), HttpUtil.isKeepAlive(request), ::answered))
+            else -> enqueue(NettyExchange(context, request.toHead(), request.toBytes(), { HttpUtil.isKeepAlive(request) && !isClosing() }, ::answered))
         }
     }
 
@@ -82,6 +86,13 @@
     }
 }
 
+private val spokenVersions = setOf(HttpVersion.HTTP_1_1, HttpVersion.HTTP_1_0)
+
+private fun FullHttpRequest.namesOneHost(): Boolean {
+    val hosts = headers().getAll(HttpHeaderNames.HOST).size
+    return hosts == 1 || (hosts == 0 && protocolVersion() == HttpVersion.HTTP_1_0)
+}
+
 private fun statusOf(failure: Throwable): HttpResponseStatus = when (failure) {
     is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
@@ -117,12 +128,13 @@
     private val context: ChannelHandlerContext,
     override val head: RequestHead,
     override val body: ByteArray,
-    private val keepAlive: Boolean,
+    private val mayKeepAlive: () -> Boolean,
     private val answered: () -> Unit,
 ) : Exchange {
     var watch: ExchangeWatch? = null
         private set
     private var isOver = false
+    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE, mayKeepAlive)
 
     override fun answer(head: AnswerHead, content: ByteArray) = onConnectionThread {
         if (!isOver) {
@@ -165,6 +177,11 @@
         if (executor.inEventLoop()) action() else executor.execute(action)
     }
 
+    override fun after(delay: Duration, action: () -> Unit): CancelTimer {
+        val timer = context.executor().schedule(action, delay.inWholeMilliseconds.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        return { timer.cancel(false) }
+    }
+
     private fun finish(last: Any) {
         isOver = true
         watch = null
--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import java.net.URLDecoder
+import kotlin.time.Duration
 
 /** One header of a request or an answer; names are lower case. */
 public data class Header(public val name: String, public val value: String)
@@ -35,11 +36,14 @@
 /** The statuses that this project sends. */
 public object HttpStatus {
     public const val OK: Int = 200
+    public const val TEMPORARY_REDIRECT: Int = 307
     public const val BAD_REQUEST: Int = 400
     public const val UNAUTHORIZED: Int = 401
     public const val FORBIDDEN: Int = 403
     public const val NOT_FOUND: Int = 404
     public const val METHOD_NOT_ALLOWED: Int = 405
+    public const val REQUEST_TIMEOUT: Int = 408
+    public const val MISDIRECTED: Int = 421
     public const val CONFLICT: Int = 409
     public const val PAYLOAD_TOO_LARGE: Int = 413
     public const val UNPROCESSABLE: Int = 422
@@ -50,6 +54,9 @@
     public const val GATEWAY_TIMEOUT: Int = 504
 }
 
+/** Stops a timer that has not fired yet. */
+public typealias CancelTimer = () -> Unit
+
 /** What an answer's sender is told about the caller's connection. */
 public class ExchangeWatch(public val writable: (Boolean) -> Unit, public val gone: () -> Unit)
 
@@ -82,6 +89,9 @@
     /** Has [watch] told about the caller's connection. */
     public fun watch(watch: ExchangeWatch)
 
+    /** Runs [action] after [delay] on the thread that owns the caller's connection, unless it is cancelled before. */
+    public fun after(delay: Duration, action: () -> Unit): CancelTimer
+
     /** Runs [action] on the thread that owns the caller's connection. */
     public fun onConnectionThread(action: () -> Unit)
 }
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -34,8 +34,15 @@
     public val bodyBytes: Int = DEFAULT_BODY_BYTES,
     public val waitingRequests: Int = 16,
     public val idle: Duration = 120.seconds,
+    public val head: Duration = 10.seconds,
 )
 
+/** Returns the bounds that hold for a connection that opens now. */
+public typealias CurrentLimits = () -> HttpLimits
+
+/** Whether connections should end once their present request is answered. */
+public typealias IsClosing = () -> Boolean
+
 /** The threads on which HTTP connections live: callers', operators' and endpoints' share them. */
 public class HttpThreads internal constructor(internal val group: MultiThreadIoEventLoopGroup, public val count: Int) {
     /** Ends the threads and all connections on them. */
@@ -73,8 +80,9 @@
 public fun HttpThreads.serve(
     host: String,
     port: Int,
-    limits: HttpLimits = HttpLimits(),
+    limits: CurrentLimits = { HttpLimits() },
     tls: TlsFiles? = null,
+    isClosing: IsClosing = { false },
     handle: HandleExchange,
 ): HttpServer {
     val tlsContext = tls?.let { SslContextBuilder.forServer(it.certificateChain.toFile(), it.privateKey.toFile()).build() }
@@ -83,22 +91,26 @@
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(serverPipeline(limits, tlsContext, handle))
+        .childHandler(serverPipeline(limits, tlsContext, isClosing, handle))
     return HttpServer(bootstrap.bind(host, port).sync().channel())
 }
 
-private fun serverPipeline(limits: HttpLimits, tls: SslContext?, handle: HandleExchange) =
+private fun serverPipeline(currentLimits: CurrentLimits, tls: SslContext?, isClosing: IsClosing, handle: HandleExchange) =
     object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
+            val limits = currentLimits()
+            val headWatch = HeadWatch(limits.head)
             val decoding = HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.initialLineBytes)
                 .setMaxHeaderSize(limits.headerBytes)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
+                headWatch.bytes,
                 HttpServerCodec(decoding),
+                headWatch.messages,
                 IdleStateHandler(0, 0, limits.idle.inWholeSeconds.toInt()),
                 HttpObjectAggregator(limits.bodyBytes, true),
-                CallerConnection(limits, handle),
+                CallerConnection(limits, isClosing, handle),
             )
         }
     }
--- a/connection/src/main/kotlin/sniperoute/connection/peer/Handshakes.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/Handshakes.kt
@@ -16,6 +16,7 @@
 import kotlinx.serialization.KSerializer
 import sniperoute.connection.peer.codec.LinkSeals
 import sniperoute.connection.peer.codec.linkSeals
+import sniperoute.connection.peer.codec.plainSeals
 import sniperoute.connection.peer.codec.proofOf
 import sniperoute.connection.peer.message.LinkChallenge
 import sniperoute.connection.peer.message.LinkHello
@@ -36,19 +37,30 @@
 /** Looks up the secret of a VM. */
 public typealias SecretOf = (VmName) -> ByteArray?
 
+/** What proves that a peer is who it says. */
+public sealed interface LinkTrust
+
+/** Both sides know the dialing VM's secret; frames are sealed under keys that follow from it. */
+public class SecretTrust(public val own: ByteArray, public val secretOf: SecretOf) : LinkTrust
+
+/** A VM is named by its address, and only VMs of the fleet reach the port: a peer may speak for its own address. Frames are plain. */
+public data object AddressTrust : LinkTrust
+
 /** The two channels of an open connection. */
-internal class LinkChannels(val input: ByteReadChannel, val output: ByteWriteChannel)
+internal class LinkChannels(val input: ByteReadChannel, val output: ByteWriteChannel, val remoteHost: String)
 
 /** Who is at the other end, and the seals for what follows. */
 internal class Handshaken(val peer: PeerName, val seals: LinkSeals)
 
 /** Returns the outcome of the dialer's side, for a link from [self] to a process on [expected]. */
-internal suspend fun LinkChannels.dial(self: PeerName, expected: VmName, secret: ByteArray): Either<LinkRefused, Handshaken> = either {
+internal suspend fun LinkChannels.dial(self: PeerName, expected: VmName, trust: LinkTrust): Either<LinkRefused, Handshaken> = either {
     val hello = LinkHello.serializer().toBytes(LinkHello(self, nonce()))
     writePart(hello)
     val challengeBytes = readPart()
     val challenge = decode(LinkChallenge.serializer(), challengeBytes)
     ensure(challenge.name.vm == expected) { LinkRefused("${challenge.name.vm} answered in place of $expected") }
+    if (trust !is SecretTrust) return@either Handshaken(challenge.name, plainSeals())
+    val secret = trust.own
     val unproved = LinkChallenge.serializer().toBytes(LinkChallenge(challenge.name, challenge.nonce, ByteArray(0)))
     ensure(MessageDigest.isEqual(challenge.proof, proofOf(secret, "listener", hello, unproved))) {
         LinkRefused("the listener at $expected doesn't know the secret")
@@ -58,10 +70,15 @@
 }
 
 /** Returns the outcome of the listener's side. */
-internal suspend fun LinkChannels.accept(self: PeerName, secretOf: SecretOf): Either<LinkRefused, Handshaken> = either {
+internal suspend fun LinkChannels.accept(self: PeerName, trust: LinkTrust): Either<LinkRefused, Handshaken> = either {
     val helloBytes = readPart()
     val hello = decode(LinkHello.serializer(), helloBytes)
-    val secret = secretOf(hello.name.vm) ?: raise(LinkRefused("no secret is known for ${hello.name.vm}"))
+    if (trust !is SecretTrust) {
+        ensure(hello.name.vm.text == remoteHost) { LinkRefused("$remoteHost says that it is ${hello.name.vm}") }
+        writePart(LinkChallenge.serializer().toBytes(LinkChallenge(self, nonce(), ByteArray(0))))
+        return@either Handshaken(hello.name, plainSeals())
+    }
+    val secret = trust.secretOf(hello.name.vm) ?: raise(LinkRefused("no secret is known for ${hello.name.vm}"))
     val nonce = nonce()
     val unproved = LinkChallenge.serializer().toBytes(LinkChallenge(self, nonce, ByteArray(0)))
     val challenge = LinkChallenge(self, nonce, proofOf(secret, "listener", helloBytes, unproved))
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.network.sockets.toJavaAddress
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeByteArray
@@ -22,6 +23,7 @@
 import sniperoute.process.codec.fromBytes
 import sniperoute.process.codec.toBytes
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.atomic.LongAdder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,7 +32,7 @@
 private val HEARTBEAT = 500.milliseconds
 
 /** After this long without anything received, the link is taken for dead. */
-internal val SILENCE: Duration = 2_000.milliseconds
+internal val SILENCE: Duration = 1_500.milliseconds
 
 private const val LARGEST_FRAME_BYTES = 256 * 1024 * 1024
 private const val OUTBOX_CAPACITY = 4_096
@@ -69,7 +71,8 @@
     handshake: suspend LinkChannels.() -> Either<LinkRefused, Handshaken>,
     handlers: PeerHandlers,
 ) {
-    val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false))
+    val remoteHost = (remoteAddress.toJavaAddress() as InetSocketAddress).address.hostAddress
+    val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false), remoteHost)
     val outcome = withTimeoutOrNull(SILENCE) { channels.handshake() }
     outcome?.fold(
         ifLeft = handlers.refused,
@@ -94,13 +97,12 @@
 }
 
 private suspend fun LinkChannels.writeFrames(link: PeerLink, handshaken: Handshaken) {
-    val outgoing = handshaken.seals.outgoing
     while (true) {
         val next = withTimeoutOrNull(HEARTBEAT) { link.outbox.receiveCatching() }
         if (next != null && next.isClosed) return
         var content = next?.getOrNull()?.let { Envelope.serializer().toBytes(it) } ?: ByteArray(0)
         while (true) {
-            val sealed = outgoing.seal(content)
+            val sealed = handshaken.seals.seal(content)
             output.writeInt(sealed.size)
             output.writeByteArray(sealed)
             content = link.outbox
@@ -113,10 +115,9 @@
 }
 
 private suspend fun LinkChannels.readFrames(link: PeerLink, handshaken: Handshaken, handlers: PeerHandlers): String {
-    val incoming = handshaken.seals.incoming
     while (true) {
         val sealed = withTimeoutOrNull(SILENCE) { readFrame() } ?: return endSilently(link)
-        val content = incoming.openOrNull(sealed) ?: return refuse(link, handlers, "a frame was altered, replayed or lost")
+        val content = handshaken.seals.openOrNull(sealed) ?: return refuse(link, handlers, "a frame was altered, replayed or lost")
         if (content.isEmpty()) continue
         val envelope = Envelope.serializer().fromBytes(content).getOrNull() ?: return refuse(link, handlers, "a frame holds no envelope")
         handlers.received(link, envelope)
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -54,33 +55,40 @@
  *
  * @throws IOException if the address can't be bound
  */
-public fun PeerNetwork.listen(self: PeerName, host: String, port: Int, secretOf: SecretOf, handlers: PeerHandlers) {
+public fun PeerNetwork.listen(self: PeerName, host: String, port: Int, trust: LinkTrust, handlers: PeerHandlers) {
     val listener = runBlocking { aSocket(selector).tcp().bind(InetSocketAddress(host, port)) { reuseAddress = true } }
     scope.launch {
         while (true) {
             val socket = listener.accept()
             launch {
-                contained(handlers) { socket.use { it.runLink({ accept(self, secretOf) }, handlers) } }
+                contained(handlers) { socket.use { it.runLink({ accept(self, trust) }, handlers) } }
             }
         }
     }
 }
 
-/** Keeps a link from [self] to [target] open, dialing again with growing pauses whenever it ends. */
-public fun PeerNetwork.dial(self: PeerName, target: PeerAddress, secret: ByteArray, handlers: PeerHandlers) {
-    scope.launch {
+/** A link that is kept open. */
+public class Dialing internal constructor(private val job: Job) {
+    /** Ends the link and dials no more. */
+    public fun stop(): Unit = job.cancel()
+}
+
+/** Keeps a link from [self] to [target] open, dialing again with growing pauses whenever it ends, until the result is stopped. */
+public fun PeerNetwork.dial(self: PeerName, target: PeerAddress, trust: LinkTrust, handlers: PeerHandlers): Dialing {
+    val job = scope.launch {
         var wait = SHORTEST_WAIT
         val remembering = handlers.whenOpened { wait = SHORTEST_WAIT }
         while (true) {
             contained(handlers) {
                 val address = InetSocketAddress(target.host, target.port)
                 val socket = withTimeout(CONNECT_PATIENCE) { aSocket(selector).tcp().connect(address) { noDelay = true } }
-                socket.use { it.runLink({ dial(self, target.vm, secret) }, remembering) }
+                socket.use { it.runLink({ dial(self, target.vm, trust) }, remembering) }
             }
             delay(wait)
             wait = minOf(wait * 2, LONGEST_WAIT)
         }
     }
+    return Dialing(job)
 }
 
 private fun PeerHandlers.whenOpened(action: () -> Unit): PeerHandlers = PeerHandlers(
--- a/connection/src/main/kotlin/sniperoute/connection/peer/codec/FrameSeals.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/codec/FrameSeals.kt
@@ -53,12 +53,24 @@
     }
 }
 
+/** Turns the content of the next frame into what is sent. */
+internal typealias SealFrame = (ByteArray) -> ByteArray
+
+/** Returns the content of the next frame, or `null` when what came is not it. */
+internal typealias OpenFrame = (ByteArray) -> ByteArray?
+
 /** The seals of both directions of a link. */
-internal class LinkSeals(val outgoing: FrameSeal, val incoming: FrameSeal)
+internal class LinkSeals(val seal: SealFrame, val openOrNull: OpenFrame)
+
+private val PLAIN_MARK = byteArrayOf(1)
+
+/** Returns seals that leave frames as they are; a mark keeps empty ones apart from none. */
+internal fun plainSeals(): LinkSeals =
+    LinkSeals(seal = { PLAIN_MARK + it }, openOrNull = { if (it.isEmpty()) null else it.copyOfRange(1, it.size) })
 
 /** Returns the seals of a link whose handshake had these messages. */
 internal fun linkSeals(secret: ByteArray, hello: ByteArray, challenge: ByteArray, isDialer: Boolean): LinkSeals {
     val fromDialer = FrameSeal(proofOf(secret, "dialer to listener", hello, challenge))
     val fromListener = FrameSeal(proofOf(secret, "listener to dialer", hello, challenge))
-    return if (isDialer) LinkSeals(fromDialer, fromListener) else LinkSeals(fromListener, fromDialer)
+    return if (isDialer) LinkSeals(fromDialer::seal, fromListener::openOrNull) else LinkSeals(fromListener::seal, fromDialer::openOrNull)
 }
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -53,7 +53,7 @@
         handle: HandleExchange = {
             it.answer(AnswerHead(200), it.body)
         },
-    ) = threads.serve("127.0.0.1", 0, limits, handle = handle)
+    ) = threads.serve("127.0.0.1", 0, { limits }, handle = handle)
 
     private fun exchange(port: Int, request: String): String = Socket("127.0.0.1", port).use { socket ->
         socket.soTimeout = 5_000
--- a/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
@@ -55,10 +55,10 @@
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
     private fun listen(seen: Seen, known: ByteArray?): Int =
-        freePort().also { port -> network().listen(name("control"), "127.0.0.1", port, { known }, seen.handlers) }
+        freePort().also { port -> network().listen(name("control"), "127.0.0.1", port, SecretTrust(secret) { known }, seen.handlers) }
 
     private fun dial(seen: Seen, port: Int, own: ByteArray = secret, expected: String = "control") =
-        network().dial(name("router"), PeerAddress(VmName(expected), "127.0.0.1", port), own, seen.handlers)
+        network().dial(name("router"), PeerAddress(VmName(expected), "127.0.0.1", port), SecretTrust(own) { null }, seen.handlers)
 
     @Test
     fun `both sides prove who they are and then hear each other`() {
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Agreement.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Agreement.kt
@@ -10,9 +10,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.process.agreement.message.*
 import sniperoute.process.clock.Moment
-import kotlin.time.Duration.Companion.seconds
-
-private val JOIN_INTERVAL = 1.seconds
 
 /** Returns the state of [self] after a start at [now] with what its disk holds. It gives no vote until a leader could have been heard. */
 public fun recoveredAgreement(
@@ -77,9 +74,9 @@
 }
 
 private fun AgreementState.onFollowerTick(now: Moment): Transition = when {
-    self !in log.membership.everyone && now >= nextJoin ->
-        copy(nextJoin = now + JOIN_INTERVAL).unchanged().order(Broadcast(JoinRequest(term)))
-    now >= electionDue -> startTrial(now)
+    (self !in log.membership.everyone || now < outsideUntil) && now >= nextJoin ->
+        copy(nextJoin = now + settings.joinInterval).unchanged().order(Broadcast(JoinRequest(term)))
+    now >= electionDue && now >= outsideUntil -> startTrial(now)
     else -> unchanged()
 }
 
@@ -91,6 +88,7 @@
     is SnapshotRequest -> onSnapshotRequest(from, message, now)
     is HandoverRequest -> if (message.term == term && leaderOrNull == from) stand(handover = true, now) else unchanged()
     is JoinRequest -> onJoinRequest(from, now)
+    is MembersNotice -> onMembersNotice(message, now)
 }
 
 private fun AgreementState.onPropose(input: Propose, now: Moment): Transition {
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/AgreementStates.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/AgreementStates.kt
@@ -13,7 +13,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Times and sizes of the agreement. [voterVms] are the VMs whose replicas should vote. */
+/**
+ * Times and sizes of the agreement. [voterVms] are the VMs whose replicas should vote; when it is empty any may, up to
+ * [wantedVoters], and a newcomer takes the place of a voter that was silent for [replaceAfter].
+ */
 public data class AgreementSettings(
     public val voterVms: PersistentSet<VmName>,
     public val heartbeat: Duration = 100.milliseconds,
@@ -22,6 +25,9 @@
     public val leaseMargin: Duration = 50.milliseconds,
     public val entriesPerMessage: Int = 256,
     public val snapshotResend: Duration = 1_000.milliseconds,
+    public val wantedVoters: Int = voterVms.size,
+    public val replaceAfter: Duration = 1_500.milliseconds,
+    public val joinInterval: Duration = 1_000.milliseconds,
 )
 
 /** What a replica is to the others at the moment. */
@@ -55,7 +61,10 @@
     public val snapshotSent: Moment = Moment.EARLIEST,
 )
 
-/** The state of one replica. [synced] is the last index known to be on its own disk. */
+/**
+ * The state of one replica. [synced] is the last index known to be on its own disk; until [outsideUntil] it takes itself for no
+ * member, as one that is said.
+ */
 public data class AgreementState(
     public val self: ReplicaIdentity,
     public val settings: AgreementSettings,
@@ -69,6 +78,7 @@
     public val leaderHeard: Moment,
     public val electionDue: Moment,
     public val nextJoin: Moment,
+    public val outsideUntil: Moment = Moment.EARLIEST,
 ) {
     /** Whether this replica may vote and stand for election. */
     public val isVoter: Boolean get() = self in log.membership.voters
@@ -128,6 +138,9 @@
 /** Ask every VM that is known whether its replica leads; used by a replica that is in no membership. */
 public data class Broadcast(public val message: AgreementMessage) : Order
 
+/** Note that [vms] have replicas, as a member said. */
+public data class MembersLearned(public val vms: PersistentList<VmName>) : Order
+
 /** Apply [entries] to the state machine. */
 public data class Apply(public val entries: PersistentList<LogEntry>) : Order
 
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Elections.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Elections.kt
@@ -69,6 +69,7 @@
 internal fun AgreementState.onVoteRequest(from: ReplicaIdentity, request: VoteRequest, now: Moment): Transition {
     val leaderIsHeard = leaderOrNull != from && !request.handover && hearsLeader(now)
     return when {
+        leaderIsHeard && from !in log.membership.everyone -> refuseVote(from, request).order(membersNotice(from))
         leaderIsHeard -> refuseVote(from, request)
         request.trial -> answerTrial(from, request)
         request.term > term -> follow(request.term, null, now).then { it.answerVote(from, request, now) }
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
@@ -7,26 +7,47 @@
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.agreement.message.MembershipEntry
+import sniperoute.process.agreement.message.MembersNotice
 import sniperoute.process.agreement.message.ReplicaIdentity
 import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import kotlin.time.Duration
 
 /** Returns the state after a replica outside the membership asked to join. */
 internal fun AgreementState.onJoinRequest(from: ReplicaIdentity, now: Moment): Transition {
     val membership = log.membership
-    if (!mayChangeMembership() || from in membership.everyone) return unchanged()
+    if (from in membership.everyone) return unchanged()
+    if (!mayChangeMembership()) return unchanged().order(membersNotice(from))
     val others = membership.learners.filter { it.vm != from.vm }
     return changeMembership(Membership(membership.voters, (others + from).toPersistentList()), now)
 }
 
+internal fun AgreementState.membersNotice(to: ReplicaIdentity): Order =
+    Send(to, MembersNotice(term, log.membership.everyone.toPersistentList()))
+
+/** Returns the state after a member said who belongs to the group; a replica that does not asks to join for a while. */
+internal fun AgreementState.onMembersNotice(notice: MembersNotice, now: Moment): Transition {
+    val isOutside = notice.members.isNotEmpty() && self !in notice.members && role !is Leader
+    val next = if (isOutside) copy(outsideUntil = now + settings.electionMaximum * 2) else this
+    val vms = notice.members
+        .map { it.vm }
+        .distinct()
+        .toPersistentList()
+    return next.unchanged().order(MembersLearned(vms))
+}
+
 /** Returns the state after the next due change of membership, if there is one. */
 internal fun AgreementState.reconcileMembership(now: Moment): Transition {
     if (!mayChangeMembership()) return unchanged()
     val leader = role as Leader
-    val learner = log.membership.learners.firstOrNull { it.vm in settings.voterVms && hasCaughtUp(leader, it, now) }
-    val next = learner?.let { nextMembershipOrNull(leader, it, now) }
+    val next = log.membership.learners
+        .filter { settings.mayVote(it.vm) && hasCaughtUp(leader, it, now) }
+        .firstNotNullOfOrNull { nextMembershipOrNull(leader, it, now) }
     return if (next == null) unchanged() else changeMembership(next, now)
 }
 
+private fun AgreementSettings.mayVote(vm: VmName): Boolean = voterVms.isEmpty() || vm in voterVms
+
 private fun AgreementState.mayChangeMembership(): Boolean {
     val leader = role as? Leader ?: return false
     return leader.handoverUntil == null && committed >= leader.firstIndex && log.membershipIndex <= committed
@@ -40,17 +61,18 @@
 private fun AgreementState.nextMembershipOrNull(leader: Leader, learner: ReplicaIdentity, now: Moment): Membership? {
     val membership = log.membership
     val predecessor = membership.voters.firstOrNull { it.vm == learner.vm }
+    val replaced = predecessor?.takeIf { isSilent(leader, it, settings.electionMaximum, now) }
+        ?: membership.voters.firstOrNull { isSilent(leader, it, settings.replaceAfter, now) }.takeIf { predecessor == null }
     return when {
-        predecessor == null ->
+        predecessor == null && membership.voters.size < maxOf(settings.wantedVoters, settings.voterVms.size) ->
             Membership((membership.voters + learner).toPersistentList(), (membership.learners - learner).toPersistentList())
-        isSilent(leader, predecessor, now) ->
-            membership.copy(voters = (membership.voters - predecessor).toPersistentList())
+        replaced != null -> membership.copy(voters = (membership.voters - replaced).toPersistentList())
         else -> null
     }
 }
 
-private fun AgreementState.isSilent(leader: Leader, replica: ReplicaIdentity, now: Moment): Boolean =
-    replica != self && leader.progress[replica]?.let { now - it.answered > settings.electionMaximum } ?: true
+private fun AgreementState.isSilent(leader: Leader, replica: ReplicaIdentity, patience: Duration, now: Moment): Boolean =
+    replica != self && leader.progress[replica]?.let { now - it.answered > patience } ?: true
 
 private fun AgreementState.changeMembership(membership: Membership, now: Moment): Transition =
     appendAsLeader(MembershipEntry(membership), now).order(MembershipProposed(membership))
@@ -74,7 +96,7 @@
 public fun AgreementState.redundancy(now: Moment): Redundancy {
     val leader = role as? Leader ?: return Redundancy.UNKNOWN
     val voters = log.membership.voters
-    val isComplete = voters.map { it.vm }.containsAll(settings.voterVms)
+    val isComplete = voters.size >= settings.wantedVoters && voters.map { it.vm }.containsAll(settings.voterVms)
     val others = voters.filter { it != self }.map { leader.progress[it] }
     val areHeard = others.all { it != null && now - it.answered < settings.electionMaximum }
     return when {
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
@@ -94,7 +94,7 @@
 }
 
 private fun AgreementState.heardLeader(from: ReplicaIdentity, leaderTerm: Long, now: Moment): Transition =
-    follow(leaderTerm, from, now).update { copy(leaderHeard = now) }
+    follow(leaderTerm, from, now).update { copy(leaderHeard = now, outsideUntil = Moment.EARLIEST) }
 
 private fun AgreementState.takeEntries(from: ReplicaIdentity, request: AppendRequest): Transition {
     val start = maxOf(request.previousIndex, log.snapshot.index)
--- a/process/src/main/kotlin/sniperoute/process/agreement/message/Messages.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/message/Messages.kt
@@ -66,3 +66,7 @@
 /** A replica that is in no membership asks to become a learner. */
 @Serializable
 public data class JoinRequest(override val term: Long) : AgreementMessage
+
+/** Tells a replica that asked to join, or for a vote without being a member, who the [members] are as far as the sender knows. */
+@Serializable
+public data class MembersNotice(override val term: Long, public val members: ItemList<ReplicaIdentity>) : AgreementMessage
--- a/process/src/main/kotlin/sniperoute/process/clock/Moments.kt
+++ b/process/src/main/kotlin/sniperoute/process/clock/Moments.kt
@@ -5,6 +5,7 @@
 package sniperoute.process.clock
 
 import kotlinx.serialization.Serializable
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 
@@ -38,3 +39,31 @@
     val startMonotonic = System.nanoTime()
     return { Moment(startWall + (System.nanoTime() - startMonotonic) / NANOSECONDS_PER_MICROSECOND) }
 }
+
+private const val UNREMARKABLE_ADVANCE_MICROSECONDS = 50_000L
+
+/** The advances of the wall clock against the steady clock that were seen so far, in microseconds. */
+private data class SeenAdvance(val wallAhead: Long, val skipped: Long)
+
+/**
+ * Returns a clock for leases. A machine may stand still without its steady clock showing it, so each sudden advance of the wall
+ * clock against the steady clock counts as time that passed; a wall clock that is set back changes nothing.
+ */
+public fun leaseClock(): Clock = leaseClock(
+    steadyMicroseconds = { System.nanoTime() / NANOSECONDS_PER_MICROSECOND },
+    wallMicroseconds = { System.currentTimeMillis() * MICROSECONDS_PER_MILLISECOND },
+)
+
+internal fun leaseClock(steadyMicroseconds: () -> Long, wallMicroseconds: () -> Long): Clock {
+    val start = wallMicroseconds() - steadyMicroseconds()
+    val seen = AtomicReference(SeenAdvance(start, 0))
+    return {
+        val steady = steadyMicroseconds()
+        val ahead = wallMicroseconds() - steady
+        val advance = seen.updateAndGet { known ->
+            val jump = ahead - known.wallAhead
+            SeenAdvance(ahead, known.skipped + if (jump > UNREMARKABLE_ADVANCE_MICROSECONDS) jump else 0)
+        }
+        Moment(start + steady + advance.skipped)
+    }
+}
--- a/process/src/main/kotlin/sniperoute/process/settings/ObjectReaders.kt
+++ b/process/src/main/kotlin/sniperoute/process/settings/ObjectReaders.kt
@@ -71,6 +71,16 @@
         return fallback
     }
 
+    /** Returns the number [name] within [range]. */
+    public fun decimal(name: String, range: ClosedFloatingPointRange<Double>): Double {
+        val expected = "a number from ${range.start} to ${range.endInclusive}"
+        val value = member(name, expected, optional = false) ?: return range.start
+        val number = (value as? PlacedNumber)?.text?.toDoubleOrNull()
+        if (number != null && number in range) return number
+        collector.note(value.place, "\"$name\" is ${value.describe()}", expected)
+        return range.start
+    }
+
     /** Returns the number of milliseconds [name] as a duration. */
     public fun milliseconds(name: String, range: LongRange, default: Duration? = null): Duration =
         whole(name, range, default?.inWholeMilliseconds).milliseconds
--- a/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
@@ -132,6 +132,19 @@
     }.bind()
 }
 
+/**
+ * Returns whether a replica was formed at [path], which is only done in an empty folder; one that holds anything is left as it is.
+ */
+public fun formDataFolderIfEmpty(path: Path, disk: DiskIdentity, founding: Snapshot): Either<StorageError, Boolean> = either {
+    guarded(path) { Files.createDirectories(path) }.bind()
+    val isEmpty = guarded(path) { path.listDirectoryEntries().none { !it.name.endsWith(TEMPORARY_SUFFIX) } }.bind()
+    if (isEmpty) {
+        guarded(path) { path.listDirectoryEntries().forEach(Files::deleteIfExists) }.bind()
+        formDataFolder(path, disk, founding).bind()
+    }
+    isEmpty
+}
+
 private fun readIdentity(path: Path, newDisk: DiskIdentity): Either<StorageError, DiskIdentity> = either {
     val file = path.resolve(IDENTITY_FILE)
     if (!file.exists()) {
--- a/process/src/test/kotlin/sniperoute/process/agreement/ReplicaGroups.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/ReplicaGroups.kt
@@ -101,7 +101,7 @@
             is Broadcast -> replicas.filter { it !== replica }.forEach { fly(replica, it.disk.identity, order.message) }
             is Apply -> order.entries.forEach { commit(replica, it) }
             is RoleChanged -> if (order.role is Leader) noteLeader(replica, order.term)
-            is Restore, is RefuseProposal, is MembershipProposed -> Unit
+            is Restore, is RefuseProposal, is MembershipProposed, is MembersLearned -> Unit
         }
     }
 
--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.common
 
+import sun.misc.Signal
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
@@ -120,6 +121,11 @@
     isStopped.countDown()
 }
 
+/** Runs [reload] when the process is told that its settings changed; without this the signal would end it. */
+public fun onReload(reload: () -> Unit) {
+    Signal.handle(Signal("HUP")) { reload() }
+}
+
 private val logger = KotlinLogging.logger("sniperoute")
 
 /** Returns what to do when a duty fails: a process without one of its duties must not go on. */
--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control
 
+import sniperoute.process.identity.VmName
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.message.DeskInput
 import sniperoute.control.message.EntriesCommitted
@@ -23,7 +24,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TICK = 10.milliseconds
+private val TICK = 20.milliseconds
 
 /** Where the orders of the agreement go. */
 internal class AgreementOutlets(
@@ -31,6 +32,8 @@
     val desk: Ring<DeskInput>,
     val send: (ReplicaIdentity, AgreementMessage) -> Unit,
     val broadcast: (AgreementMessage) -> Unit,
+    val members: (List<VmName>) -> Unit,
+    val learned: (List<VmName>) -> Unit,
     val status: AtomicReference<AgreementStatus>,
     val recorder: Recorder,
 ) {
@@ -50,6 +53,7 @@
     outlets.status.set(transition.state.toStatus(now))
     transition.orders.forEach { outlets.carryOut(it) }
     outlets.noteRedundancy(transition.state, now)
+    if (transition.state.log.membership != state.log.membership) outlets.members(transition.state.log.membership.everyone.map { it.vm })
     transition.state
 }
 
@@ -70,6 +74,7 @@
     is Persist, is PersistSnapshot, is SendAfterSync -> storage.put(order)
     is Send -> send(order.to, order.message)
     is Broadcast -> broadcast(order.message)
+    is MembersLearned -> learned(order.vms)
     is Apply -> desk.put(EntriesCommitted(order.entries))
     is Restore -> desk.put(SnapshotRestored(order.snapshot))
     is RefuseProposal -> desk.put(ProposalRefused(order.proposal, order.leader?.vm))
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.control
 
+import sniperoute.connection.peer.Dialing
 import sniperoute.connection.peer.LinkRefused
 import sniperoute.connection.peer.PeerHandlers
 import sniperoute.connection.peer.PeerLink
@@ -37,13 +38,19 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-/** The open links. A full ring drops what came: both protocols send again what matters. */
+/**
+ * The open links. A full ring drops what came: both protocols send again what matters. Messages of the agreement go over a link
+ * that this replica dialed, or else over one that the other dialed.
+ */
 internal class ControlLinks(
+    private val dial: (VmName, PeerHandlers) -> Dialing?,
     private val agreement: Ring<AgreementInput>,
     private val desk: Ring<DeskInput>,
     private val recorder: Recorder,
 ) {
     private val replicas = ConcurrentHashMap<VmName, PeerLink>()
+    private val callingReplicas = ConcurrentHashMap<VmName, PeerLink>()
+    private val dialings = ConcurrentHashMap<VmName, Dialing>()
     private val routers = ConcurrentHashMap<LinkNumber, PeerLink>()
     private val numbers = ConcurrentHashMap<PeerLink, LinkNumber>()
     private val lastNumber = AtomicLong()
@@ -51,13 +58,24 @@
     /** Handlers of the links that others dialed: routers ask here, replicas send what they have for this one. */
     fun handlers(): PeerHandlers = PeerHandlers(::accepted, ::received, ::closed, ::refused)
 
-    /** Handlers of the links that this replica dialed, on which it only sends. */
-    fun dialerHandlers(): PeerHandlers = PeerHandlers(
+    /** Keeps links open to the replicas on [vms], and to no others. */
+    fun linkTo(vms: Collection<VmName>) {
+        dialings.keys.filter { it !in vms }.forEach { dialings.remove(it)?.stop() }
+        alsoLinkTo(vms)
+    }
+
+    /** Keeps links open to the replicas on [vms] as well. */
+    fun alsoLinkTo(vms: Collection<VmName>) {
+        vms.filter { !dialings.containsKey(it) }.forEach { vm -> dial(vm, dialerHandlers())?.let { dialings[vm] = it } }
+    }
+
+    /** Handlers of the links that this replica dialed. */
+    private fun dialerHandlers(): PeerHandlers = PeerHandlers(
         opened = { link ->
             replicas[link.peer.vm] = link
             recorder.record(EventKind.PEER_CONNECTED, detail = "replica ${link.peer.vm}")
         },
-        received = { _, _ -> },
+        received = ::received,
         closed = { link, reason ->
             replicas.remove(link.peer.vm, link)
             recorder.record(EventKind.PEER_LOST, detail = "replica ${link.peer.vm}: $reason")
@@ -67,8 +85,8 @@
 
     /** Sends [message] to the replica [to], if a link to just that replica is open. */
     fun sendAgreement(to: ReplicaIdentity, message: AgreementMessage) {
-        val link = replicas[to.vm] ?: return
-        if (link.peer.disk == to.disk) link.send(envelope(EnvelopeChannel.AGREEMENT, 0, message.encode()))
+        val link = replicas[to.vm]?.takeIf { it.peer.disk == to.disk } ?: callingReplicas[to.vm]?.takeIf { it.peer.disk == to.disk }
+        link?.send(envelope(EnvelopeChannel.AGREEMENT, 0, message.encode()))
     }
 
     /** Sends [message] to every replica that is linked. */
@@ -91,7 +109,10 @@
         Envelope(channel, correlation, recorder.stamp(), body)
 
     private fun accepted(link: PeerLink) {
-        if (link.peer.role != PeerRole.ROUTER) return
+        if (link.peer.role != PeerRole.ROUTER) {
+            callingReplicas[link.peer.vm] = link
+            return
+        }
         val number = LinkNumber(lastNumber.incrementAndGet())
         numbers[link] = number
         routers[number] = link
@@ -133,6 +154,7 @@
     }
 
     private fun closed(link: PeerLink, reason: String) {
+        callingReplicas.remove(link.peer.vm, link)
         val number = numbers.remove(link) ?: return
         routers.remove(number)
         desk.offer(RouterLinkClosed(number))
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -0,0 +1,224 @@
+/**
+ * The wiring of one control replica: the duties of the agreement, of the storage and of the control desk, the links with other
+ * processes and the operators' pages.
+ */
+package sniperoute.control
+
+import sniperoute.control.decision.AgreementStatus
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.common.GroupDiscovery
+import sniperoute.common.ListenAddress
+import sniperoute.common.Location
+import sniperoute.common.awaitStop
+import sniperoute.common.failTogether
+import sniperoute.connection.endpoint.EndpointClient
+import sniperoute.connection.endpoint.EchoedId
+import sniperoute.connection.endpoint.endpointClient
+import sniperoute.connection.http.HttpServer
+import sniperoute.connection.http.HttpThreads
+import sniperoute.connection.http.startHttpThreads
+import sniperoute.connection.peer.*
+import sniperoute.connection.peer.message.PeerName
+import sniperoute.connection.peer.message.PeerRole
+import sniperoute.control.decision.FleetSettings
+import sniperoute.control.decision.newDeskState
+import sniperoute.control.message.DeskInput
+import sniperoute.control.message.SnapshotRestored
+import sniperoute.process.agreement.decision.*
+import sniperoute.process.agreement.message.Membership
+import sniperoute.process.agreement.message.ReplicaIdentity
+import sniperoute.process.clock.Clock
+import sniperoute.process.identity.DiskIdentity
+import sniperoute.process.identity.VmName
+import sniperoute.process.identity.newIncarnation
+import sniperoute.process.identity.randomBits
+import sniperoute.process.metrics.MetricsRegistry
+import sniperoute.process.metrics.gauge
+import sniperoute.process.metrics.newMetricsRegistry
+import sniperoute.process.metrics.watch
+import sniperoute.process.ring.Ring
+import sniperoute.process.ring.ring
+import sniperoute.process.storage.*
+import sniperoute.process.timeline.Recorder
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.startRecorder
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicReference
+
+private const val AGREEMENT_RING = 8_192
+private const val STORAGE_RING = 8_192
+private const val DESK_RING = 8_192
+private const val RETRY_PAUSE_MILLISECONDS = 200L
+private const val HANDOVER_MILLISECONDS = 300L
+
+/** What operators' pages are made of. */
+public class OperatorOffice internal constructor(
+    public val threads: HttpThreads,
+    public val client: EndpointClient,
+    public val desk: DeskDuty,
+    public val metrics: MetricsRegistry,
+    public val recorder: Recorder,
+    public val clock: Clock,
+)
+
+/** Starts serving operators. */
+public typealias ServeOperators = (OperatorOffice) -> HttpServer
+
+/** Returns how the replica speaks with endpoints, given its client. */
+public typealias OpenEndpointOffice = (EndpointClient, Recorder) -> EndpointOffice
+
+/** What one control replica is made of; an empty folder is formed with the members [founding], if there are any. */
+public class ControlParts(
+    public val location: Location,
+    public val dataFolder: Path,
+    public val peers: ListenAddress,
+    public val agreement: AgreementSettings,
+    public val trust: LinkTrust,
+    public val discovery: GroupDiscovery,
+    public val clock: Clock,
+    public val timelineEvents: Int,
+    public val httpThreads: Int,
+    public val founding: List<VmName> = emptyList(),
+    public val fleet: FleetSettings = FleetSettings(),
+    public val echo: EchoedId = EchoedId(),
+    public val openEndpoints: OpenEndpointOffice = { client, _ -> EndpointOffice(client::call) },
+    public val serveOperators: ServeOperators,
+)
+
+/** Every VM's first replica has an identity that follows from its name, so that the first members know each other. */
+internal fun foundingIdentity(vm: VmName): ReplicaIdentity =
+    ReplicaIdentity(
+        vm,
+        DiskIdentity(
+            vm.text
+                .hashCode()
+                .toUInt()
+                .toLong(),
+        ),
+    )
+
+/** Returns the membership of a group that [vms] form. */
+internal fun foundingMembership(vms: List<VmName>): Membership = Membership(vms.map(::foundingIdentity).toPersistentList())
+
+/** Runs a replica until it is stopped. */
+public fun runControl(parts: ControlParts, onUnusable: (StorageError) -> Nothing) {
+    val recorder = startRecorder("control@${parts.location.vm}", parts.clock, parts.timelineEvents)
+    if (parts.founding.isNotEmpty()) parts.formIfEmpty(recorder).onLeft { onUnusable(it) }
+    val opened = openDataFolder(parts.dataFolder, DiskIdentity(randomBits())).fold({ onUnusable(it) }, { it })
+    recorder.noteOpened(opened.recovered)
+    ControlReplica(parts, opened, recorder).run()
+}
+
+private fun ControlParts.formIfEmpty(recorder: Recorder) = formDataFolderIfEmpty(
+    dataFolder,
+    foundingIdentity(location.vm).disk,
+    foundingLog(foundingMembership(founding)).snapshot,
+).onRight { isFormed ->
+    if (isFormed) recorder.record(EventKind.GROUP_FORMED, detail = "with ${founding.joinToString()}")
+}
+
+private fun Recorder.noteOpened(recovered: RecoveredReplica) {
+    record(EventKind.PROCESS_STARTED)
+    val log = recovered.log
+    record(
+        EventKind.LOG_OPENED,
+        detail = "disk ${recovered.disk}, term ${recovered.term}, entries ${log.snapshot.index + 1} to ${log.lastIndex}",
+    )
+    if (recovered.cutBytes > 0) record(EventKind.LOG_TAIL_CUT, detail = "${recovered.cutBytes} bytes of an unfinished write")
+    if (log.membership.voters.isEmpty()) record(EventKind.REPLICA_JOINED_EMPTY, detail = "disk ${recovered.disk}")
+}
+
+private class ControlReplica(private val parts: ControlParts, private val opened: OpenedFolder, private val recorder: Recorder) {
+    private val clock = parts.clock
+    private val recovered = opened.recovered
+    private val identity = ReplicaIdentity(parts.location.vm, recovered.disk)
+    private val name = PeerName(identity.vm, PeerRole.REPLICA, newIncarnation(), identity.disk)
+    private val agreementRing: Ring<AgreementInput> = ring("agreement", AGREEMENT_RING)
+    private val storageRing: Ring<Order> = ring("storage", STORAGE_RING)
+    private val deskRing: Ring<DeskInput> = ring("desk", DESK_RING)
+    private val onFailure = failTogether(recorder)
+    private val network = newPeerNetwork()
+    private val httpThreads = startHttpThreads(parts.httpThreads)
+    private val client = endpointClient(httpThreads, clock, parts.echo)
+    private val links = ControlLinks(::dial, agreementRing, deskRing, recorder)
+    private val initial = recoveredAgreement(
+        self = identity,
+        settings = parts.agreement,
+        seed = name.incarnation.bits.toInt(),
+        term = recovered.term,
+        votedFor = recovered.votedFor,
+        log = recovered.log,
+        now = clock(),
+    )
+    private val status = AtomicReference<AgreementStatus>(initial.toStatus(clock()))
+    private val metrics = newMetricsRegistry()
+
+    fun run() {
+        deskRing.put(SnapshotRestored(recovered.log.snapshot))
+        startStorage()
+        startAgreementDuty(agreementRing, initial, agreementOutlets(), clock, onFailure)
+        val desk = startDesk()
+        network.listen(name, parts.peers.host, parts.peers.port, parts.trust, links.handlers())
+        links.linkTo(others(recovered.log.membership.everyone.map { it.vm } + parts.discovery.seeds()))
+        val server = serveOperators(desk)
+        recorder.record(EventKind.PROCESS_READY, detail = "operators on port ${server.port}")
+        awaitStop { stop(server) }
+    }
+
+    private fun stop(server: HttpServer) {
+        recorder.record(EventKind.PROCESS_STOPPING)
+        agreementRing.put(HandOver)
+        Thread.sleep(HANDOVER_MILLISECONDS)
+        server.stopListening()
+        network.close()
+        httpThreads.close()
+    }
+
+    private fun dial(vm: VmName, handlers: PeerHandlers): Dialing? =
+        parts.discovery.addressOf(vm)?.let { network.dial(name, it, parts.trust, handlers) }
+
+    private fun others(vms: Collection<VmName>): List<VmName> = vms.filter { it != identity.vm }.distinct()
+
+    private fun startStorage() {
+        val outlets = StorageOutlets(
+            append = opened.folder::append,
+            replace = { opened.folder.replace(it.term, it.votedFor, it.log) },
+            synced = { agreementRing.put(it) },
+            send = { links.sendAgreement(it.to, it.message) },
+            failed = {
+                recorder.recordDiskFailure(it)
+                agreementRing.offer(DiskFailed)
+            },
+            pause = { Thread.sleep(RETRY_PAUSE_MILLISECONDS) },
+        )
+        startStorageDuty(storageRing, outlets, onFailure)
+    }
+
+    private fun agreementOutlets() = AgreementOutlets(
+        storage = storageRing,
+        desk = deskRing,
+        send = links::sendAgreement,
+        broadcast = { message ->
+            links.alsoLinkTo(others(parts.discovery.seeds()))
+            links.broadcastAgreement(message)
+        },
+        members = { vms -> links.linkTo(others(vms)) },
+        learned = { vms -> links.alsoLinkTo(others(vms)) },
+        status = status,
+        recorder = recorder,
+    )
+
+    private fun startDesk(): DeskDuty {
+        val office = parts.openEndpoints(client, recorder)
+        val state = newDeskState(randomBits(), parts.fleet)
+        return startDeskDuty(deskRing, agreementRing, state, status, links, office, recorder, clock, onFailure)
+    }
+
+    private fun serveOperators(desk: DeskDuty): HttpServer {
+        listOf(agreementRing, storageRing, deskRing).forEach(metrics::watch)
+        metrics.gauge("sniperoute_agreement_term", "The agreement's term.") { status.get().term.toDouble() }
+        metrics.gauge("sniperoute_agreement_committed", "The last committed entry.") { status.get().committed.toDouble() }
+        metrics.gauge("sniperoute_agreement_leads", "1 when this replica leads.") { if (status.get().isLeader) 1.0 else 0.0 }
+        return parts.serveOperators(OperatorOffice(httpThreads, client, desk, metrics, recorder, clock))
+    }
+}
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -3,6 +3,11 @@
  */
 package sniperoute.control
 
+import sniperoute.connection.endpoint.message.OnCallEvent
+import sniperoute.connection.endpoint.collecting
+import sniperoute.version.decision.ReadEndpoint
+import sniperoute.version.decision.OrderOutcome
+import sniperoute.version.decision.OrderEndpoint
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.connection.endpoint.message.AnswerBegan
@@ -40,19 +45,19 @@
 private const val WEIGHTS_PAGE = "/weights"
 
 /** Is told what became of an operator's command. */
-internal typealias OnCommandResult = (AnswerOperator) -> Unit
+public typealias OnCommandResult = (AnswerOperator) -> Unit
 
 /** The control desk as the rest of the process sees it. */
-internal class DeskDuty(
+public class DeskDuty internal constructor(
     private val inbox: Ring<DeskInput>,
-    val status: AtomicReference<AgreementStatus>,
-    val published: AtomicReference<DeskState>,
+    public val status: AtomicReference<AgreementStatus>,
+    public val published: AtomicReference<DeskState>,
 ) {
     private val waiting = ConcurrentHashMap<OperatorWait, OnCommandResult>()
     private val lastWait = AtomicLong()
 
     /** Hands [command] on; [onResult] is told once, unless the process is too busy to take it, which `false` says. */
-    fun command(command: Command, onResult: OnCommandResult): Boolean {
+    public fun command(command: Command, onResult: OnCommandResult): Boolean {
         val wait = OperatorWait(lastWait.incrementAndGet())
         waiting[wait] = onResult
         val taken = inbox.offer(OperatorCommanded(wait, command))
@@ -60,7 +65,7 @@
         return taken
     }
 
-    fun answer(order: AnswerOperator) {
+    internal fun answer(order: AnswerOperator) {
         waiting.remove(order.wait)?.invoke(order)
     }
 }
@@ -73,13 +78,13 @@
     initial: DeskState,
     status: AtomicReference<AgreementStatus>,
     links: ControlLinks,
-    call: CallEndpoint,
+    endpoints: EndpointOffice,
     recorder: Recorder,
     clock: Clock,
     onFailure: DutyFailure,
 ): DeskDuty {
     val duty = DeskDuty(inbox, status, AtomicReference(initial))
-    val outlets = DeskOutlets(duty, inbox, agreement, links, call, recorder)
+    val outlets = DeskOutlets(duty, inbox, agreement, links, endpoints, recorder)
     startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
         val step = state.step(status.get(), now, input)
         duty.published.set(step.state)
@@ -94,7 +99,7 @@
     private val inbox: Ring<DeskInput>,
     private val agreement: Ring<AgreementInput>,
     private val links: ControlLinks,
-    private val call: CallEndpoint,
+    private val endpoints: EndpointOffice,
     private val recorder: Recorder,
 ) {
     fun carryOut(order: DeskOrder) {
@@ -107,6 +112,8 @@
             is ReadWeights -> read(order)
             is OrderWeights -> order(order)
             is KeepSnapshot -> keep(order)
+            is ReadList -> endpoints.list { listed -> inbox.offer(EndpointsListed(listed)) }
+            is AskEndpoint -> ask(order)
             is NoteEvent -> recorder.record(order.kind, order.subject, order.detail)
         }
     }
@@ -121,16 +128,33 @@
         recorder.record(EventKind.SNAPSHOT_WRITTEN, detail = "at entry ${order.index}, ${order.state.size} bytes")
     }
 
+    private fun ask(order: AskEndpoint) {
+        val name = order.action.listed.endpoint.name
+        when (val action = order.action) {
+            is ReadEndpoint -> endpoints.read(action.listed) { report -> inbox.offer(EndpointRead(name, report)) }
+            is OrderEndpoint -> {
+                val subject = EventSubject(endpoint = name.text, weights = "${action.model} ${action.number}")
+                recorder.record(EventKind.LOAD_ORDERED, subject, "fence ${order.fence}, after ${action.count} orders")
+                endpoints.order(action, order.fence) { outcome ->
+                    if (outcome != OrderOutcome.TAKEN) {
+                        recorder.record(EventKind.LOAD_ORDER_REFUSED, subject, "fence ${order.fence}: $outcome")
+                    }
+                    inbox.offer(EndpointOrdered(name, action.number, outcome))
+                }
+            }
+        }
+    }
+
     private fun read(order: ReadWeights) {
         val request = endpointCall(order.host, order.port, "GET", ByteArray(0))
-        call(request, collect { body -> inbox.offer(WeightsRead(order.endpoint, body?.let(::weightsIn))) })
+        endpoints.call(request, collect { body -> inbox.offer(WeightsRead(order.endpoint, body?.let(::weightsIn))) })
     }
 
     private fun order(order: OrderWeights) {
         val subject = EventSubject(endpoint = order.endpoint.text, weights = order.weights.text)
         recorder.record(EventKind.LOAD_ORDERED, subject, "fence ${order.fence}")
         val request = endpointCall(order.host, order.port, "POST", orderBody(order.weights, order.fence))
-        call(
+        endpoints.call(
             request,
             collect { body ->
                 if (body == null) {
@@ -154,16 +178,7 @@
     fresh = true,
 )
 
-/** Gathers a whole answer and hands its content on, or `null` when there is none. */
-private fun collect(onBody: (ByteArray?) -> Unit): (CallEvent) -> Unit {
-    var status = 0
-    var content = ByteArray(0)
-    return { event ->
-        when (event) {
-            is AnswerBegan -> status = event.head.status
-            is ContentCame -> content += event.bytes
-            is Ended -> onBody(content.takeIf { status == HttpStatus.OK })
-            is Failed -> onBody(null)
-        }
-    }
+/** Hands on the content of a good answer, or `null` when there is none. */
+private fun collect(onBody: (ByteArray?) -> Unit): OnCallEvent = collecting { answer ->
+    onBody(answer.getOrNull()?.takeIf { it.head.status == HttpStatus.OK }?.content)
 }
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
@@ -0,0 +1,25 @@
+/**
+ * How a control replica speaks with endpoints and with the platform's list.
+ */
+package sniperoute.control
+
+import sniperoute.common.ListEndpoints
+import sniperoute.connection.endpoint.CallEndpoint
+import sniperoute.version.decision.EndpointReport
+import sniperoute.version.decision.OrderEndpoint
+import sniperoute.version.decision.OrderOutcome
+import sniperoute.version.message.ListedEndpoint
+
+/** Reads what an endpoint reports of itself; [onReport] is told once, `null` when it gave no report. */
+public typealias ReadListedEndpoint = (endpoint: ListedEndpoint, onReport: (EndpointReport?) -> Unit) -> Unit
+
+/** Sends an order under [fence]; [onOutcome] is told once. */
+public typealias OrderListedEndpoint = (order: OrderEndpoint, fence: Long, onOutcome: (OrderOutcome) -> Unit) -> Unit
+
+/** The calls of a control replica to endpoints; [list], [read] and [order] serve listed services, [call] the declared ones. */
+public class EndpointOffice(
+    public val call: CallEndpoint,
+    public val list: ListEndpoints = { it(null) },
+    public val read: ReadListedEndpoint = { _, onReport -> onReport(null) },
+    public val order: OrderListedEndpoint = { _, _, onOutcome -> onOutcome(OrderOutcome.LOST) },
+)
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -80,6 +80,7 @@
     is StartMove -> applyStartMove(command, index)
     is AdvanceMove -> applyAdvanceMove(command)
     is TakeBackMove -> applyTakeBack(command, index)
+    is NameWeights -> applyNameWeights(command)
 }
 
 private fun ControlState.tookEffect(): Applied = Applied(this, TookEffect(published.revision))
@@ -87,7 +88,7 @@
 private fun ControlState.noEffect(reason: String): Applied = Applied(this, HasNoEffect(reason))
 
 private fun ControlState.applySubmission(command: SubmitConfiguration, index: Long): Applied {
-    val submission = Submission(command.follows, command.digest, command.operator, command.declarations)
+    val submission = Submission(command.follows, command.digest, command.operator, command.declarations, command.numbering)
     val outcome = configurations.judge(submission)
     if (outcome !is SubmissionAccepted) return Applied(this, SubmissionJudged(outcome, published.revision))
     val next = publishDeclarations(command.declarations, command, index)
@@ -100,7 +101,7 @@
     val moves = declarations.services.mapNotNull { moveItemOrNull(it, command, index) }
     val kept = (items + moves).map { it.name }.toSet()
     val gone = published.changes.values
-        .filter { it.item != null && it.name.kind != ItemKind.QUARANTINE && it.name !in kept }
+        .filter { it.item != null && it.name.kind !in outlivingKinds && it.name !in kept }
         .map { it.name }
     return copy(
         published = published.publish(items + moves, gone),
@@ -108,6 +109,25 @@
     )
 }
 
+/** What no declaration names, and none takes away. */
+private val outlivingKinds = setOf(ItemKind.QUARANTINE, ItemKind.MODEL_WEIGHTS)
+
+private fun ControlState.applyNameWeights(command: NameWeights): Applied {
+    val known = namedWeights()[command.model]
+    if (known != null && known.number >= command.number) return tookEffect()
+    val item = ModelWeightsItem(ModelWeights(command.model, command.number, command.at))
+    return copy(published = published.publish(listOf(item))).tookEffect()
+}
+
+/** Returns the newest weights of each model. */
+public fun ControlState.namedWeights(): Map<ModelName, ModelWeights> =
+    published.changes.values
+        .mapNotNull { (it.item as? ModelWeightsItem)?.weights }
+        .associateBy { it.model }
+
+/** Returns the models that the listed service [name] serves. */
+public fun ControlState.modelsOf(name: ServiceName): List<ModelName> = serviceOrNull(name)?.engine?.models.orEmpty()
+
 /**
  * The move of [service] once its declaration is in force: a new one, the one before, or one that is being taken back. A
  * finished one stays for as long as the declaration still names the weights that it moved from.
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -46,6 +46,9 @@
     is RouterLinkClosed -> lead { copy(links = links.remove(input.link)) }.unchanged()
     is OperatorCommanded -> onOperator(input, status, now)
     is WeightsRead -> onWeightsRead(input).unchanged()
+    is EndpointsListed -> onListed(input, now)
+    is EndpointRead -> tendLoads(now) { it.reported(input.endpoint, input.report, now) }
+    is EndpointOrdered -> tendLoads(now) { it.ordered(input.endpoint, input.number, input.outcome, now) }
 }
 
 /** Begins or ends leadership as the agreement says; what waited when it ends is told so. */
@@ -57,7 +60,7 @@
             val leases = newLeases(now, status.electionMaximum)
             dismissWaiters(status).then {
                 val known = newLeadership(status.term, now, status.electionMaximum, leases, it.machine.published.revision)
-                it.copy(leadership = known).unchanged()
+                it.copy(leadership = known.withOrdersAfter(it.orderRest(now))).unchanged()
             }
         }
         leadership != null -> dismissWaiters(status).then { it.copy(leadership = null).unchanged() }
@@ -189,10 +192,10 @@
     }
 
 private fun DeskState.onSession(input: SessionReceived, status: AgreementStatus, now: Moment): DeskStep {
-    if (!isLeading(status, now)) return unchanged().order(ReplySession(input.from, NotLeader(status.leader)))
+    if (!isLeading(status, now)) return unchanged().order(ReplySession(input.from, NotLeader(status.leader, status.memberVms())))
     val known = lead { copy(links = links.put(input.from.link, input.router)) }
     return when (val message = input.message) {
-        is RenewRequest -> known.renew(input, message, now)
+        is RenewRequest -> known.renew(input, message, status, now)
         is TokenRequest ->
             known
                 .lead { copy(asks = asks.add(TokenAsk(input.from, message.workspace, message.tokens))) }
@@ -205,7 +208,7 @@
     }
 }
 
-private fun DeskState.renew(input: SessionReceived, request: RenewRequest, now: Moment): DeskStep {
+private fun DeskState.renew(input: SessionReceived, request: RenewRequest, status: AgreementStatus, now: Moment): DeskStep {
     val renewed = lead {
         copy(
             leases = leases.renew(input.router, request.revision, now),
@@ -221,8 +224,15 @@
         configuration = machine.configurations.number,
         isWhole = since.isWhole,
         changes = since.changes,
+        members = status.memberVms(),
+        routers = checkNotNull(renewed.leadership) { "only a leader renews leases" }.leases.routers.size,
+        fleet = leadership?.fleet?.number ?: 0,
     )
-    return renewed.unchanged().order(ReplySession(input.from, reply)).then { it.reportInForce(now) }
+    return renewed
+        .unchanged()
+        .order(ReplySession(input.from, reply))
+        .then { it.sendFleet(input.from, request.fleet) }
+        .then { it.reportInForce(now) }
 }
 
 /** Notes in the time line when the newest revision is in force everywhere. */
@@ -256,6 +266,7 @@
     return proposeTokens(now, isDue = now >= known.nextMark)
         .then { it.reportInForce(now) }
         .then { it.tendMoves(now) }
+        .then { it.tendFleet(now) }
 }
 
 private fun DeskState.noteEvents(command: Command, outcome: Applied): DeskStep {
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -3,6 +3,9 @@
  */
 package sniperoute.control.decision
 
+import sniperoute.version.decision.noWeightLoads
+import sniperoute.version.decision.WeightLoads
+import sniperoute.version.decision.FleetView
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -84,8 +87,14 @@
     public val orders: PersistentMap<EndpointName, SentOrder>,
     public val reads: PersistentMap<EndpointName, Moment>,
     public val reported: Long,
+    public val fleet: FleetView? = null,
+    public val loads: WeightLoads = noWeightLoads(ordersFrom),
+    public val nextList: Moment = Moment.EARLIEST,
 )
 
+/** Whether listed services are to be tended, and how long a new leader waits for orders of an earlier one to be over. */
+public data class FleetSettings(public val isListed: Boolean = false, public val orderRest: Duration = Duration.ZERO)
+
 /** Everything that the control duty knows. */
 public data class DeskState(
     public val applied: Long,
@@ -93,10 +102,12 @@
     public val leadership: Leadership?,
     public val nextProposal: Long,
     public val snapshotIndex: Long,
+    public val settings: FleetSettings = FleetSettings(),
 )
 
 /** Returns the state of the control duty at start; [firstProposal] should be random, so that no two leaders use the same numbers. */
-public fun newDeskState(firstProposal: Long): DeskState = DeskState(0, newControlState(), null, firstProposal, 0)
+public fun newDeskState(firstProposal: Long, settings: FleetSettings = FleetSettings()): DeskState =
+    DeskState(0, newControlState(), null, firstProposal, 0, settings)
 
 internal fun newLeadership(term: Long, now: Moment, electionMaximum: Duration, leases: Leases, reported: Long): Leadership = Leadership(
     term = term,
@@ -132,7 +143,7 @@
 internal fun DeskState.lead(change: Leadership.() -> Leadership): DeskState = copy(leadership = leadership?.change())
 
 /** Whether this replica leads at [now], may act on it, and knows all that was committed. */
-internal fun DeskState.isLeading(status: AgreementStatus, now: Moment): Boolean {
+public fun DeskState.isLeading(status: AgreementStatus, now: Moment): Boolean {
     val leaseEnd = status.leaseEnd ?: return false
     return leadership != null && leadership.term == status.term && now < leaseEnd && applied >= status.committed
 }
--- /dev/null
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -0,0 +1,74 @@
+/**
+ * What a leader does about listed services: it reads the platform's list, has endpoints load the newest weights, and tells routers
+ * how the fleet changed.
+ */
+package sniperoute.control.decision
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.control.message.*
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.VmName
+import sniperoute.version.decision.*
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.FleetEndpoint
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The list is read this often: several times within the time in which a leaving endpoint must be left alone. */
+private val LIST_INTERVAL = 600.milliseconds
+
+/** Orders of an earlier leader are over after the rest that the platform asks for; the very first leader has none before it. */
+internal fun DeskState.orderRest(now: Moment): Moment {
+    val isFirst = machine.configurations.number == 0L && machine.published.revision == 0L
+    return if (isFirst) now else now + settings.orderRest
+}
+
+internal fun Leadership.withOrdersAfter(moment: Moment): Leadership =
+    copy(loads = noWeightLoads(moment))
+
+internal fun AgreementStatus.memberVms(): PersistentList<VmName> =
+    membership.everyone
+        .map { it.vm }
+        .distinct()
+        .toPersistentList()
+
+/** Returns the state after what is due for listed services. */
+internal fun DeskState.tendFleet(now: Moment): DeskStep {
+    val known = leadership ?: return unchanged()
+    if (!settings.isListed) return unchanged()
+    val listing = if (now < known.nextList) unchanged() else lead { copy(nextList = now + LIST_INTERVAL) }.unchanged().order(ReadList)
+    return listing.then { it.tendLoads(now) { loads -> loads } }
+}
+
+internal fun DeskState.onListed(input: EndpointsListed, now: Moment): DeskStep {
+    val listed = input.listed ?: return unchanged()
+    val known = leadership ?: return unchanged()
+    val started = lead { copy(fleet = known.fleet ?: FleetView(firstFleetNumber(known.term), persistentMapOf())) }
+    return started.tendLoads(now) { it.relist(listed) }
+}
+
+/** Returns the state after [update] of what is known of the loads, with what is due after that. */
+internal fun DeskState.tendLoads(now: Moment, update: (WeightLoads) -> WeightLoads): DeskStep {
+    val known = leadership ?: return unchanged()
+    val step = update(known.loads).tend(machine.namedWeights(), machine::modelsOf, now)
+    val asked = step.actions.fold(lead { copy(loads = step.loads) }.unchanged()) { all, action -> all.order(AskEndpoint(action, known.term)) }
+    return asked.then { it.publishFleet() }
+}
+
+private fun DeskState.publishFleet(): DeskStep {
+    val known = leadership ?: return unchanged()
+    val before = known.fleet ?: return unchanged()
+    val endpoints = known.loads.endpoints.values.fold(persistentMapOf<EndpointName, FleetEndpoint>()) { all, load ->
+        all.put(load.listed.endpoint.name, FleetEndpoint(load.listed, load.weights, isChanging = load.open != null))
+    }
+    val after = before.next(endpoints)
+    if (after === before) return unchanged()
+    return lead { copy(fleet = after) }.unchanged().order(NotifyRouters(known.links.keys.toPersistentList(), after.noticeSince(before)))
+}
+
+/** Sends the whole view to a router that has another one. */
+internal fun DeskState.sendFleet(to: ReplyAddress, known: Long): DeskStep {
+    val fleet = leadership?.fleet ?: return unchanged()
+    return if (fleet.number == known) unchanged() else unchanged().order(ReplySession(to, fleet.wholeNotice()))
+}
--- a/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.control.message
 
+import sniperoute.version.message.ModelName
+import sniperoute.version.decision.Numbering
 import kotlinx.serialization.Serializable
 import sniperoute.process.clock.Moment
 import sniperoute.process.codec.ItemList
@@ -21,7 +23,7 @@
     public val at: Moment
 }
 
-/** Puts [declarations] in force as the configuration after [follows]. */
+/** Puts [declarations] in force as the configuration after [follows], or as [numbering] says. */
 @Serializable
 public data class SubmitConfiguration(
     override val at: Moment,
@@ -29,6 +31,16 @@
     public val digest: String,
     public val operator: String,
     public val declarations: Declarations,
+    public val numbering: Numbering = Numbering.NEXT,
+) : Command
+
+/** Names weights [number] of [model], which every endpoint of that model should serve from now on. */
+@Serializable
+public data class NameWeights(
+    override val at: Moment,
+    public val model: ModelName,
+    public val number: Long,
+    public val operator: String,
 ) : Command
 
 /** Lets the key [digest] work for [workspace]. */
--- a/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
@@ -3,6 +3,11 @@
  */
 package sniperoute.control.message
 
+import sniperoute.version.message.ListedEndpoint
+import sniperoute.version.decision.OrderOutcome
+import sniperoute.version.decision.LoadAction
+import sniperoute.version.decision.EndpointReport
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentList
 import sniperoute.control.decision.CommandResult
 import sniperoute.process.agreement.message.LogEntry
@@ -59,6 +64,15 @@
 /** An endpoint said which weights it serves; `null` when it gave no answer. */
 public data class WeightsRead(public val endpoint: EndpointName, public val weights: WeightsVersion?) : DeskInput
 
+/** The platform's list was read; `null` when it could not be. */
+public data class EndpointsListed(public val listed: ImmutableList<ListedEndpoint>?) : DeskInput
+
+/** A listed endpoint reported, or gave no report. */
+public data class EndpointRead(public val endpoint: EndpointName, public val report: EndpointReport?) : DeskInput
+
+/** What became of the order to load weights [number] that a listed endpoint was sent. */
+public data class EndpointOrdered(public val endpoint: EndpointName, public val number: Long, public val outcome: OrderOutcome) : DeskInput
+
 /** What the control duty orders. */
 public sealed interface DeskOrder
 
@@ -97,6 +111,12 @@
     public val fence: Long,
 ) : DeskOrder
 
+/** Read the platform's list. */
+public data object ReadList : DeskOrder
+
+/** Ask something of a listed endpoint; orders carry [fence]. */
+public data class AskEndpoint(public val action: LoadAction, public val fence: Long) : DeskOrder
+
 /** The state machine as of [index] is to be kept as a snapshot. */
 public class KeepSnapshot(public val index: Long, public val state: ByteArray) : DeskOrder
 
--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -4,6 +4,10 @@
  */
 package sniperoute.router
 
+import sniperoute.request.admission.decision.requestDigest
+import sniperoute.request.admission.decision.RequestTarget
+import sniperoute.request.run.codec.ownDialect
+import sniperoute.request.run.codec.jsonAnswerRules
 import arrow.core.Either
 import arrow.core.raise.either
 import kotlinx.collections.immutable.persistentListOf
@@ -44,11 +48,13 @@
 private const val BEARER = "Bearer "
 private const val LONGEST_IDEMPOTENCY_KEY = 200
 
+private val dialect = ownDialect()
+
 /** Who runs requests here: the parts of a ledger owner that all requests of this process share. */
-internal typealias OwnerOf = (RequestId) -> LedgerOwner
+public typealias OwnerOf = (RequestId) -> LedgerOwner
 
 /** Returns the run of [exchange], or why there is none. */
-internal fun runOf(
+public fun runOf(
     exchange: Exchange,
     id: RequestId,
     view: ServingView,
@@ -56,11 +62,12 @@
     outlets: RunOutlets,
     now: Moment,
 ): Either<Refusal, RequestRun> = either {
-    val admission = view.admit(now, exchange.head.path, exchange.head.keyOrNull()).bind()
+    val admission = view.admit(now, RequestTarget(exchange.head.path, null, contentHash(id.text.toByteArray())), exchange.head.keyOrNull()).bind()
     val prompt = promptOf(admission, exchange).bind()
     val facts = factsOf(admission, exchange, prompt, id, now)
     val passed = PassedRequest(
-        kind = admission.service.kind,
+        rules = jsonAnswerRules(admission.service.kind, prompt.isStreamed),
+        dialect = dialect,
         wantsStream = prompt.isStreamed,
         cacheSalt = workspaceSalt(admission.workspace),
         ledgerKey = ledgerKeyOrNull(admission, exchange.head).bind(),
@@ -77,7 +84,7 @@
 
 private fun promptOf(admission: Admission, exchange: Exchange): Either<Refusal, Prompt> = when (admission.service.kind) {
     ServiceKind.MODEL -> readPrompt(exchange.body).mapLeft { Refusal(RefusalKind.MALFORMED, it.reason) }
-    ServiceKind.PLAIN -> Either.Right(Prompt(exchange.body, 0, false))
+    ServiceKind.PLAIN, ServiceKind.STORE -> Either.Right(Prompt(exchange.body, 0, false))
 }
 
 private fun ledgerKeyOrNull(admission: Admission, head: RequestHead): Either<Refusal, LedgerKey?> = either {
@@ -91,16 +98,13 @@
 
 private fun factsOf(admission: Admission, exchange: Exchange, prompt: Prompt, id: RequestId, now: Moment): RequestFacts {
     val salt = workspaceSalt(admission.workspace)
-    val content = contentHash(exchange.body)
-    val identity = "${admission.route.name}\n${exchange.head.method} ${exchange.head.path}?${exchange.head.query}\n$salt\n$content"
-    val second = contentHash(identity.toByteArray())
     val isModel = admission.service.kind == ServiceKind.MODEL
     return RequestFacts(
         id = id,
         workspace = admission.workspace,
         key = admission.key,
         route = admission.route,
-        digest = RequestDigest("%016x%016x".format(content, second)),
+        digest = requestDigest(admission.route, exchange.head, salt, exchange.body),
         hash = contentHash(id.text.toByteArray()),
         chain = if (isModel) prefixChain(salt, prompt.text) else persistentListOf(),
         promptTokens = (prompt.text.size / BYTES_PER_TOKEN).toLong() + 1,
@@ -109,9 +113,3 @@
         deadline = now + admission.route.deadlineMilliseconds.milliseconds,
     )
 }
-
-/** Answers [exchange] with [refusal]. */
-internal fun Exchange.refuse(refusal: Refusal, id: RequestId) {
-    val more = persistentListOf(Header("x-request-id", id.text))
-    reply(errorAnswer(refusal.kind.status, refusal.kind.text, refusal.message, Outcome.NOT_RUN.text, more))
-}
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -45,10 +45,11 @@
 internal fun startRoutingDuty(
     inbox: Ring<RoutingInput>,
     place: PlaceRequest,
+    initial: RoutingState,
     outlets: RoutingOutlets,
     clock: Clock,
     onFailure: DutyFailure,
-): Duty = startStateDuty(inbox, TICK, clock, onFailure, newRoutingState(clock())) { state, now, input ->
+): Duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
     val step = state.step(place, now, input)
     outlets.published.set(step.state)
     step.orders.forEach(outlets::carryOut)
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -3,6 +3,10 @@
  */
 package sniperoute.router
 
+import sniperoute.request.routing.message.RoutersCounted
+import sniperoute.request.routing.message.FleetChanged
+import sniperoute.common.ListEndpoints
+import sniperoute.connection.peer.Dialing
 import sniperoute.connection.peer.PeerHandlers
 import sniperoute.connection.peer.PeerLink
 import sniperoute.connection.peer.message.Envelope
@@ -36,18 +40,27 @@
 
 private val TICK = 100.milliseconds
 
+/** What a session needs of the network: first replicas, links, and the platform's list. */
+internal class SessionNetwork(
+    val seeds: () -> List<VmName>,
+    val dial: (VmName, PeerHandlers) -> Dialing?,
+    val list: ListEndpoints,
+)
+
 /** The session as the rest of the router sees it. */
 internal class SessionDuty(
     private val inbox: Ring<SessionInput>,
     private val routing: Ring<RoutingInput>,
     private val recorder: Recorder,
     private val onView: (ServingView) -> Unit,
+    private val network: SessionNetwork,
 ) {
     /** What may be served now. */
     val view = AtomicReference<ServingView>()
     private val links = ConcurrentHashMap<VmName, PeerLink>()
     private val waiting = ConcurrentHashMap<LedgerWait, (LedgerReply) -> Unit>()
     private val lastWait = AtomicLong()
+    private val dialings = ConcurrentHashMap<VmName, Dialing>()
 
     /** Asks the ledger; a ring that is full answers for it that nothing was asked. */
     fun askLedger(request: LedgerRequest, isLasting: Boolean, onReply: (LedgerReply) -> Unit) {
@@ -56,8 +69,18 @@
         if (!inbox.offer(LedgerAsked(wait, request, isLasting))) waiting.remove(wait)?.invoke(LedgerNotHere)
     }
 
+    /** Keeps links open to the replicas on [vms], and to no others. */
+    fun linkTo(vms: Collection<VmName>) {
+        dialings.keys.filter { it !in vms }.forEach { dialings.remove(it)?.stop() }
+        alsoLinkTo(vms)
+    }
+
+    private fun alsoLinkTo(vms: Collection<VmName>) {
+        vms.filter { !dialings.containsKey(it) }.forEach { vm -> network.dial(vm, handlers())?.let { dialings[vm] = it } }
+    }
+
     /** Handlers of the links to the control replicas. */
-    fun handlers(): PeerHandlers = PeerHandlers(
+    private fun handlers(): PeerHandlers = PeerHandlers(
         opened = { link ->
             links[link.peer.vm] = link
             inbox.put(LinkOpened(link.peer.vm))
@@ -98,6 +121,11 @@
             is ServeBy -> serveBy(order.view)
             is HandTokens -> routing.put(order.grant)
             is AnswerLedger -> waiting.remove(order.wait)?.invoke(order.reply)
+            is ServeFleet -> routing.put(FleetChanged(order.fleet))
+            is ShareAllowances -> routing.put(RoutersCounted(order.routers))
+            is KeepLinks -> linkTo(order.replicas)
+            is SeekReplicas -> alsoLinkTo(network.seeds())
+            is ReadFleet -> network.list { listed -> inbox.offer(ListRead(listed)) }
             is LeaseRanOut -> recorder.record(EventKind.LEASE_LOST, detail = "keyed requests are refused until it is renewed")
             is CameInForce -> recorder.record(
                 EventKind.CONFIGURATION_IN_FORCE,
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -4,6 +4,11 @@
  */
 package sniperoute.router.decision
 
+import sniperoute.version.decision.unknownFleet
+import sniperoute.version.decision.advanceOrNull
+import sniperoute.version.decision.FleetView
+import kotlin.time.Duration
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -53,10 +58,26 @@
     public val evidence: ImmutableList<RouteEvidence>,
     public val nextCorrelation: Long,
     public val isLeaseKnownLost: Boolean,
+    public val settings: SessionSettings = SessionSettings(),
+    public val fleet: FleetView = unknownFleet(),
+    public val fleetHeard: Moment = Moment.EARLIEST,
+    public val nextList: Moment = Moment.EARLIEST,
+    public val nextSeek: Moment = Moment.EARLIEST,
+    public val routers: Int = 1,
 )
 
+/**
+ * What a session is given at the start. A router serves on for [graceAfterLease] when its lease has run out; one that
+ * [readsList] reads the platform's list itself while the leader's view is old.
+ */
+public data class SessionSettings(public val graceAfterLease: Duration = Duration.ZERO, public val readsList: Boolean = false)
+
 /** Returns the session of a router that has just started; it knows [replicas] and nothing else. */
-public fun newControlSession(replicas: PersistentList<VmName>, now: Moment): ControlSession {
+public fun newControlSession(
+    replicas: PersistentList<VmName>,
+    now: Moment,
+    settings: SessionSettings = SessionSettings(),
+): ControlSession {
     require(replicas.isNotEmpty()) { "a router needs at least one control replica" }
     return ControlSession(
         replicas = replicas,
@@ -69,6 +90,8 @@
         evidence = persistentListOf(),
         nextCorrelation = 1,
         isLeaseKnownLost = true,
+        settings = settings,
+        fleetHeard = now,
     )
 }
 
@@ -94,6 +117,7 @@
     is TokensWanted -> unchanged().order(SendSession(target, 0, input.message))
     is LedgerAsked -> onAsked(input, now)
     is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
+    is ListRead -> onListRead(input)
 }
 
 private fun ControlSession.onLinked(replica: VmName, now: Moment): SessionStep =
@@ -106,7 +130,7 @@
         nextRenewal = now + RENEW_INTERVAL,
         nextCorrelation = nextCorrelation + 1,
     )
-    return next.unchanged().order(SendSession(target, nextCorrelation, RenewRequest(view.catalogue.revision, evidence)))
+    return next.unchanged().order(SendSession(target, nextCorrelation, RenewRequest(view.catalogue.revision, evidence, fleet.number)))
 }
 
 private fun ControlSession.onTime(now: Moment): SessionStep {
@@ -116,6 +140,47 @@
         .then { if (it.renewal == null && now >= it.nextRenewal) it.renew(now) else it.unchanged() }
         .then { it.askAgain(now) }
         .then { it.checkLease(now) }
+        .then { it.seekReplicas(now) }
+        .then { it.readFleet(now) }
+}
+
+private val SEEK_INTERVAL = 1_000.milliseconds
+
+private fun ControlSession.seekReplicas(now: Moment): SessionStep {
+    if (linked.isNotEmpty() && now < view.leaseEnd - settings.graceAfterLease || now < nextSeek) return unchanged()
+    return copy(nextSeek = now + SEEK_INTERVAL).unchanged().order(SeekReplicas)
+}
+
+/** After this long without word from a leader that reads the list, a router reads it. */
+private val FLEET_PATIENCE = 1_500.milliseconds
+private val LIST_INTERVAL = 1_000.milliseconds
+
+private fun ControlSession.readFleet(now: Moment): SessionStep {
+    if (!settings.readsList || now - fleetHeard < FLEET_PATIENCE || now < nextList) return unchanged()
+    return copy(nextList = now + LIST_INTERVAL).unchanged().order(ReadFleet)
+}
+
+/** A list that was read here replaces the leader's view, which is asked for as a whole once there is a leader again. */
+private fun ControlSession.onListRead(input: ListRead): SessionStep {
+    val listed = input.listed ?: return unchanged()
+    val endpoints = listed.fold(fleet.endpoints.clear()) { all, one ->
+        val known = fleet.endpoints[one.endpoint.name]?.takeIf { it.listed.incarnation == one.incarnation }
+        all.put(one.endpoint.name, known?.copy(listed = one) ?: FleetEndpoint(one, one.weights, isChanging = false))
+    }
+    val read = FleetView(0, endpoints)
+    return copy(fleet = read).unchanged().order(ServeFleet(read))
+}
+
+private fun ControlSession.onFleetNotice(notice: FleetNotice, now: Moment): SessionStep {
+    val next = fleet.advanceOrNull(notice) ?: return copy(nextRenewal = now).unchanged()
+    return copy(fleet = next, fleetHeard = now).unchanged().order(ServeFleet(next))
+}
+
+/** A replica that the list does not name any more is not asked again. */
+private fun ControlSession.withReplicas(members: List<VmName>): SessionStep {
+    val known = members.distinct().toPersistentList()
+    if (known.isEmpty() || known.toSet() == replicas.toSet()) return unchanged()
+    return copy(replicas = known).unchanged().order(KeepLinks(known))
 }
 
 /** Turns to [leader], or to the next linked replica, when [replica] was taken for the leader and is not. */
@@ -140,8 +205,12 @@
 }
 
 private fun ControlSession.onSession(input: SessionSaid, now: Moment): SessionStep = when (val message = input.message) {
-    is RenewReply -> onRenewed(input, message)
-    is NotLeader -> turnFrom(input.replica, message.leader, now).then { it.renewSoon(now) }
+    is RenewReply -> onRenewed(input, message, now)
+    is FleetNotice -> onFleetNotice(message, now)
+    is NotLeader ->
+        alsoKnowing(message.members)
+            .then { it.turnFrom(input.replica, message.leader, now) }
+            .then { it.renewSoon(now) }
     is ChangeNotice -> if (message.revision > view.catalogue.revision &&
         renewal == null
     ) {
@@ -155,23 +224,30 @@
     else -> unchanged()
 }
 
+private fun ControlSession.alsoKnowing(members: List<VmName>): SessionStep = withReplicas(replicas + members)
+
 private fun ControlSession.renewSoon(now: Moment): SessionStep =
     if (renewal == null && now >= nextRenewal) renew(now) else unchanged()
 
 /** The lease counts from when the renewal was sent, so that the leader's idea of its end is never the earlier one. */
-private fun ControlSession.onRenewed(input: SessionSaid, reply: RenewReply): SessionStep {
+private fun ControlSession.onRenewed(input: SessionSaid, reply: RenewReply, now: Moment): SessionStep {
     val open = renewal ?: return unchanged()
     if (open.correlation != input.correlation || reply.revision < view.catalogue.revision) return unchanged()
-    val leaseEnd = open.sent + reply.leaseMilliseconds.milliseconds - LEASE_MARGIN
+    val leaseEnd = open.sent + reply.leaseMilliseconds.milliseconds - LEASE_MARGIN + settings.graceAfterLease
     val isChanged = reply.revision > view.catalogue.revision
     val newView = ServingView(view.catalogue.advance(reply), maxOf(view.leaseEnd, leaseEnd))
     val nextDue = if (isChanged) open.sent else nextRenewal
-    val served = copy(view = newView, renewal = null, nextRenewal = nextDue, isLeaseKnownLost = false)
+    val heard = if (reply.fleet != 0L && reply.fleet == fleet.number) now else fleetHeard
+    val served = copy(view = newView, renewal = null, nextRenewal = nextDue, isLeaseKnownLost = false, fleetHeard = heard)
         .unchanged()
         .order(ServeBy(newView))
-    return if (isChanged) served.order(CameInForce(reply.revision, reply.configuration)) else served
+    val noted = if (isChanged) served.order(CameInForce(reply.revision, reply.configuration)) else served
+    return noted.then { it.withReplicas(reply.members) }.then { it.withRouters(reply.routers) }
 }
 
+private fun ControlSession.withRouters(count: Int): SessionStep =
+    if (count == routers) unchanged() else copy(routers = count).unchanged().order(ShareAllowances(count))
+
 private fun ControlSession.onAsked(input: LedgerAsked, now: Moment): SessionStep {
     val question = OpenQuestion(input.request, input.isLasting, now, now, nextCorrelation)
     return copy(questions = questions.put(input.wait, question), nextCorrelation = nextCorrelation + 1)
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.router.message
 
+import sniperoute.version.message.ListedEndpoint
+import sniperoute.version.decision.FleetView
 import kotlinx.collections.immutable.ImmutableList
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.ServingView
@@ -40,6 +42,9 @@
 /** Routing has new evidence. */
 public data class EvidenceChanged(public val evidence: ImmutableList<RouteEvidence>) : SessionInput
 
+/** The platform's list was read here; `null` when it could not be. */
+public data class ListRead(public val listed: ImmutableList<ListedEndpoint>?) : SessionInput
+
 /** What the session duty orders. */
 public sealed interface SessionOrder
 
@@ -58,6 +63,21 @@
 /** A question to the ledger is answered. */
 public data class AnswerLedger(public val wait: LedgerWait, public val reply: LedgerReply) : SessionOrder
 
+/** The listed endpoints changed. */
+public data class ServeFleet(public val fleet: FleetView) : SessionOrder
+
+/** So many routers share the fleet's allowances. */
+public data class ShareAllowances(public val routers: Int) : SessionOrder
+
+/** Keep links to [replicas]. */
+public data class KeepLinks(public val replicas: ImmutableList<VmName>) : SessionOrder
+
+/** No control replica is linked: look for others. */
+public data object SeekReplicas : SessionOrder
+
+/** The leader's view of the fleet is old: read the platform's list here. */
+public data object ReadFleet : SessionOrder
+
 /** The lease ran out before it could be renewed. */
 public data object LeaseRanOut : SessionOrder
 
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -9,6 +9,7 @@
 import sniperoute.process.identity.Incarnation
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.RequestTarget
 import sniperoute.request.admission.decision.admit
 import sniperoute.request.admission.decision.isReady
 import sniperoute.request.ledger.message.*
@@ -69,7 +70,7 @@
         expectThat(driver.session.view.isReady(driver.now)).isFalse()
         expectThat(
             driver.session.view
-                .admit(driver.now, "/", null)
+                .admit(driver.now, RequestTarget("/", null, 0), null)
                 .leftOrNull()
                 ?.kind,
         ).isEqualTo(RefusalKind.NOT_READY)
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
@@ -24,7 +24,7 @@
 import sniperoute.request.prefix.decision.PIECE_TOKENS
 import sniperoute.request.prefix.decision.prefixChain
 import sniperoute.request.prefix.decision.workspaceSalt
-import sniperoute.request.run.codec.Usage
+import sniperoute.request.run.message.Usage
 import sniperoute.request.run.codec.inspectJson
 import sniperoute.standin.engine.decision.emptyPieceCache
 import sniperoute.standin.engine.decision.heldPieces
--- a/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.admission.decision
 
+import sniperoute.version.decision.serviceFor
 import arrow.core.Either
 import arrow.core.raise.either
 import arrow.core.raise.ensure
@@ -29,12 +30,17 @@
     public val service: Service,
 )
 
-/** Returns what a request for [path] with [key] is, or why it is refused at [now]. */
-public fun ServingView.admit(now: Moment, path: String, key: KeyDigest?): Either<Refusal, Admission> = either {
+/** What a request is for; [hash] spreads requests over the shares of a route. */
+public data class RequestTarget(public val path: String, public val host: String?, public val hash: Long)
+
+/** Returns what a request for [target] with [key] is, or why it is refused at [now]. */
+public fun ServingView.admit(now: Moment, target: RequestTarget, key: KeyDigest?): Either<Refusal, Admission> = either {
     ensure(isReady(now)) { Refusal(RefusalKind.NOT_READY, "this router has no lease from the control replicas") }
-    val route = ensureNotNull(catalogue.routeOrNull(path)) { Refusal(RefusalKind.UNKNOWN_ROUTE, "no route for $path") }
-    val service = ensureNotNull(catalogue.services[route.service]) {
-        Refusal(RefusalKind.NO_ENDPOINT, "service ${route.service} is not in force")
+    val route = ensureNotNull(catalogue.routeOrNull(target.path, target.host)) {
+        Refusal(RefusalKind.UNKNOWN_ROUTE, "no route for ${target.host.orEmpty()}${target.path}")
+    }
+    val service = ensureNotNull(catalogue.services[route.serviceFor(target.hash)]) {
+        Refusal(RefusalKind.NO_ENDPOINT, "a service of route ${route.name} is not in force")
     }
     if (route.isOpen) return@either Admission(null, null, route, service)
     ensureNotNull(key) { Refusal(RefusalKind.NO_KEY, "send the workspace's key as a bearer token") }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/CacheKnowledge.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/CacheKnowledge.kt
@@ -37,6 +37,10 @@
     return copy(holders = changed.build()).trimmed()
 }
 
+/** Returns how many leading pieces of [chain] under [weights] the one place [endpoint] is believed to hold at [now]. */
+public fun CacheKnowledge.heldAt(endpoint: EndpointName, chain: List<Long>, weights: WeightsVersion, now: Moment): Int =
+    chain.takeWhile { link -> holders[cacheKey(link, weights)]?.get(endpoint)?.let { isBelieved(endpoint, it, now) } ?: false }.size
+
 /** Returns the knowledge after [endpoint] was found not to hold the pieces [keys] any more. */
 public fun CacheKnowledge.unlearn(endpoint: EndpointName, keys: List<Long>): CacheKnowledge {
     val changed = holders.builder()
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
@@ -18,11 +19,16 @@
 import sniperoute.request.routing.message.RequestId
 import sniperoute.version.decision.chosenWeightsOrNull
 import sniperoute.version.decision.currentWeightsOrNull
+import sniperoute.version.message.EndpointName
 import sniperoute.version.message.Service
 import sniperoute.version.message.ServiceKind
 import sniperoute.version.message.ServiceName
+import sniperoute.version.message.StorePlace
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.isLimited
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Returns the state after every request of [service] that can go now was sent, in fair order. */
@@ -50,62 +56,132 @@
 /** After this long a request takes any free slot, wherever its prompt may be cached. */
 private val LONGEST_HOLD = 4.seconds
 
-private data class Target(val placement: Placement, val weights: WeightsVersion?)
+private data class Target(val placement: Placement, val weights: WeightsVersion?, val candidates: Int)
 
-private fun RoutingState.hasTokens(facts: RequestFacts): Boolean =
-    facts.workspace == null || facts.id in retries || tokens.poolOf(facts.workspace).available >= facts.tokens
+private fun RoutingState.hasTokens(facts: RequestFacts): Boolean {
+    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
+    return workspace == null || !workspace.isLimited || facts.id in retries || tokens.poolOf(workspace.name).available >= facts.tokens
+}
 
 private fun RoutingState.targetOrNull(service: Service, facts: RequestFacts, place: PlaceRequest, now: Moment): Target? =
-    weightsToTry(service, facts).firstNotNullOfOrNull { weights ->
-        val usable = candidates(service, facts, weights, now)
+    versionsToTry(service, facts).firstNotNullOfOrNull { version ->
+        val usable = candidates(service, facts, version, now)
         val candidates = if (now - facts.arrived < LONGEST_HOLD) usable else usable.filter { it.freeSlots(now) > 0 }
-        place(question(facts, weights, candidates, now), now)?.let { Target(it, weights) }
+        place(question(service, facts, version, candidates, now), now)?.let { placement ->
+            Target(placement, if (service.isListed) endpoints.getValue(placement.endpoint).weightsFor(facts.model) else version, candidates.size)
+        }
     }
 
 private fun RoutingState.question(
+    service: Service,
     facts: RequestFacts,
-    weights: WeightsVersion?,
+    version: WeightsVersion?,
     candidates: List<EndpointState>,
     now: Moment,
 ): PlacementQuestion {
-    val held = if (weights == null) persistentMapOf() else knowledge.heldPieces(facts.chain, weights, now)
+    val held = if (service.isListed) heldByWeights(facts, candidates, now) else heldPieces(facts, version, now)
     val last = facts.chain.lastOrNull()
     val sharing = if (last == null) 0 else running.values.count { it.facts.chain.lastOrNull() == last }
-    return PlacementQuestion(facts, candidates, held, sharing, sequence)
+    return PlacementQuestion(facts, candidates, held, sharing, sequence, handicaps = handicaps(facts, candidates, now))
 }
 
+private fun RoutingState.heldPieces(facts: RequestFacts, weights: WeightsVersion?, now: Moment): PersistentMap<EndpointName, Int> =
+    if (weights == null) persistentMapOf() else knowledge.heldPieces(facts.chain, weights, now)
+
+/** What each candidate holds under the weights that it serves itself. */
+private fun RoutingState.heldByWeights(
+    facts: RequestFacts,
+    candidates: List<EndpointState>,
+    now: Moment,
+): PersistentMap<EndpointName, Int> {
+    if (facts.chain.isEmpty()) return persistentMapOf()
+    return candidates.groupBy { it.weightsFor(facts.model) }.entries.fold(persistentMapOf()) { all, (weights, members) ->
+        val held = heldPieces(facts, weights, now)
+        members.mapNotNull { member -> held[member.endpoint.name]?.let { member.endpoint.name to it } }.fold(all) { map, (name, pieces) ->
+            map.put(name, pieces)
+        }
+    }
+}
+
+/** From this age of newer weights on, an answer by older ones is worth less to its caller. */
+private val WEIGHTS_PATIENCE = 1_200.milliseconds
+
+/** What serving older weights costs of expected time, before and after [WEIGHTS_PATIENCE]. */
+private val OLDER_WEIGHTS_COST = 20.milliseconds
+private val LATE_WEIGHTS_COST = 300.milliseconds
+
+/** What an endpoint costs of expected time for failing more often than the others of its service, at a difference of 1. */
+private val FAULTS_COST = 2.seconds
+
+/** Differences of failure rates below this are chance. */
+private const val USUAL_DIFFERENCE = 0.1
+
+private fun RoutingState.handicaps(facts: RequestFacts, candidates: List<EndpointState>, now: Moment): PersistentMap<EndpointName, Duration> {
+    val usual = candidates.minOfOrNull { it.faults } ?: 0.0
+    return candidates.fold(persistentMapOf()) { all, candidate ->
+        val excess = (candidate.faults - usual - USUAL_DIFFERENCE).coerceAtLeast(0.0)
+        val cost = FAULTS_COST * excess + weightsCost(facts, candidate, now)
+        if (cost.isPositive()) all.put(candidate.endpoint.name, cost) else all
+    }
+}
+
+private fun RoutingState.weightsCost(facts: RequestFacts, candidate: EndpointState, now: Moment): Duration {
+    val newest = named[facts.model ?: return Duration.ZERO] ?: return Duration.ZERO
+    return when {
+        candidate.weightsNumber(facts) >= newest.number -> Duration.ZERO
+        now - newest.seen < WEIGHTS_PATIENCE -> OLDER_WEIGHTS_COST
+        else -> LATE_WEIGHTS_COST
+    }
+}
+
+private fun EndpointState.weightsNumber(facts: RequestFacts): Long = weightsFor(facts.model)?.text?.toLongOrNull() ?: 0
+
 /**
- * The weights that may serve a request: those it began with, or the ones its share gives; when nothing serves the new
- * weights any more, the old ones.
+ * The versions that may serve a request: those it began with, or the ones its share gives; when nothing serves the new version
+ * any more, the old one. For a listed service they are releases of its software.
  */
-private fun RoutingState.weightsToTry(service: Service, facts: RequestFacts): List<WeightsVersion?> {
-    if (service.kind == ServiceKind.PLAIN) return listOf(null)
-    retries[facts.id]?.weights?.let { return listOf(it) }
+private fun RoutingState.versionsToTry(service: Service, facts: RequestFacts): List<WeightsVersion?> {
+    if (!service.isListed) {
+        if (service.kind == ServiceKind.PLAIN) return listOf(null)
+        retries[facts.id]?.weights?.let { return listOf(it) }
+    }
     val chosen = view.catalogue.chosenWeightsOrNull(service, facts.hash)
     val current = view.catalogue.currentWeightsOrNull(service)
-    val isChosenServed = endpoints.values.any { it.service == service.name && it.serves(chosen) && !it.isLeaving }
+    val isChosenServed = endpoints.values.any { it.service == service.name && it.serves(service, chosen) && !it.isLeaving }
     return if (chosen == current || isChosenServed) listOf(chosen) else listOf(chosen, current)
 }
 
-private fun EndpointState.serves(wanted: WeightsVersion?): Boolean = kind == ServiceKind.PLAIN || weights == wanted
+private fun EndpointState.serves(service: Service, wanted: WeightsVersion?): Boolean = when {
+    service.isListed -> wanted == null || release == wanted.text
+    else -> kind == ServiceKind.PLAIN || weights == wanted
+}
 
-private fun RoutingState.candidates(service: Service, facts: RequestFacts, weights: WeightsVersion?, now: Moment): List<EndpointState> {
+private fun RoutingState.candidates(service: Service, facts: RequestFacts, version: WeightsVersion?, now: Moment): List<EndpointState> {
     val isSuspect = facts.digest in suspects
-    val usable = service.endpoints
-        .mapNotNull { endpoints[it.name] }
-        .filter { it.servesNow(service, weights, this) && it.isUsable(now) }
+    val names = if (service.isListed) members[service.name].orEmpty() else service.endpoints.map { it.name }
+    val usable = names
+        .mapNotNull { endpoints[it] }
+        .filter { it.servesNow(service, version, this) && it.isUsable(now) && !isOutdated(it, facts, now) }
         .filter { !isSuspect || it.own.values.none(OwnWork::isSuspect) }
     val failedAt = retries[facts.id]?.failedAt ?: return usable
     return usable.filter { it.endpoint.name !in failedAt }.ifEmpty { usable }
 }
 
-/** Whether an endpoint serves [weights]; one that has said nothing yet is taken to serve what it is assigned. */
-private fun EndpointState.servesNow(service: Service, weights: WeightsVersion?, state: RoutingState): Boolean {
+/** Whether the endpoint's weights are so old that no request may begin on them. */
+private fun RoutingState.isOutdated(endpoint: EndpointState, facts: RequestFacts, now: Moment): Boolean {
+    val limit = settings.weightsLimit ?: return false
+    val newest = named[facts.model ?: return false] ?: return false
+    return endpoint.weightsNumber(facts) < newest.number && now - newest.seen > limit
+}
+
+/** Whether an endpoint serves [version]; one that has said nothing yet is taken to serve what it is assigned. */
+private fun EndpointState.servesNow(service: Service, version: WeightsVersion?, state: RoutingState): Boolean {
+    if (service.isListed) return serves(service, version)
     if (kind == ServiceKind.PLAIN) return true
     val assigned = state.view.catalogue.moves[service.name]
         ?.assigned
         ?.get(endpoint.name) ?: service.weights
-    return (this.weights ?: assigned) == weights
+    return (this.weights ?: assigned) == version
 }
 
 private fun RoutingState.dispatch(facts: RequestFacts, target: Target, now: Moment): RoutingStep {
@@ -113,24 +189,69 @@
     val attempt = (note?.attempts ?: 0) + 1
     val name = target.placement.endpoint
     val missed = target.placement.missedTokens
-    val ahead = endpoints.getValue(name).waitingTokens(now) + missed
-    val work = OwnWork(facts.digest, missed, ahead, hasBegun = false, isSuspect = facts.digest in suspects)
-    val paid = if (note == null && facts.workspace != null) tokens.spend(facts.workspace, facts.tokens, now) else tokens
     val endpoint = endpoints.getValue(name)
+    val work = OwnWork(facts.digest, missed, endpoint.waitingTokens(now) + missed, hasBegun = false, isSuspect = facts.digest in suspects)
+    val isPaid = note != null || facts.workspace == null || view.catalogue.workspaces[facts.workspace]?.isLimited != true
+    val paid = if (isPaid) tokens else tokens.spend(checkNotNull(facts.workspace), facts.tokens, now)
+    val transfer = transfer(facts, target, now)
+    val release = endpoint.release?.let(::WeightsVersion)
     return copy(
         tokens = paid,
         endpoints = endpoints.put(name, endpoint.began(facts.id, work)),
-        running = running.put(facts.id, RunningRequest(facts, name, target.weights, attempt, now)),
-    ).expectCached(facts, target, now)
+        running = running.put(facts.id, RunningRequest(facts, name, target.weights, attempt, now, release)),
+    ).expectCached(facts, target, transfer, now)
         .unchanged()
-        .order(Dispatch(facts.id, endpoint.endpoint, target.weights, attempt, isFresh = attempt > 1))
+        .order(
+            Dispatch(
+                id = facts.id,
+                endpoint = endpoint.endpoint,
+                weights = target.weights,
+                attempt = attempt,
+                isFresh = attempt > 1,
+                importFrom = transfer.store?.takeIf { transfer.isImported },
+                storeTo = transfer.store?.takeIf { transfer.isStored },
+                grounds = grounds(facts, target, endpoint, now),
+            ),
+        )
+}
+
+/** For people: the candidates, what is to be computed, and the age of what was known of the endpoint. */
+private fun RoutingState.grounds(facts: RequestFacts, target: Target, endpoint: EndpointState, now: Moment): String {
+    val reportAge = endpoint.report?.let { "${(now - it.at).inWholeMilliseconds} ms" } ?: "none"
+    return "of ${target.candidates}, ${target.placement.missedTokens} of ${facts.promptTokens} tokens to compute, " +
+        "own ${endpoint.own.size}, load report $reportAge old, fleet ${fleet.number}, waited ${(now - facts.arrived).inWholeMilliseconds} ms"
+}
+
+/** What a request has to do with the [store] of cached parts. */
+private data class Transfer(val store: StorePlace?, val name: EndpointName?, val isImported: Boolean, val isStored: Boolean)
+
+/** Shared parts shorter than this are computed sooner than fetched. */
+private const val SHORTEST_TRANSFER_TOKENS = 512L
+
+/**
+ * Parts that an endpoint lacks may come from the store, and what the store is not known to hold goes there. The last part of a
+ * prompt is the request's own.
+ */
+private fun RoutingState.transfer(facts: RequestFacts, target: Target, now: Moment): Transfer {
+    val service = view.catalogue.services.values.firstOrNull { it.store != null }
+    val weights = target.weights
+    val shared = facts.tokensOf(facts.chain.size - 1)
+    val none = Transfer(null, null, isImported = false, isStored = false)
+    if (service == null || weights == null || shared < SHORTEST_TRANSFER_TOKENS) return none
+    val name = EndpointName(service.name.text)
+    val links = facts.chain.dropLast(1)
+    val stored = facts.tokensOf(knowledge.heldAt(name, links, weights, now))
+    val missing = target.placement.missedTokens - (facts.promptTokens - shared)
+    return Transfer(service.store, name, missing >= SHORTEST_TRANSFER_TOKENS, shared - stored >= SHORTEST_TRANSFER_TOKENS)
 }
 
 /** What a request computes will be cached where it runs; the engine's events and counts correct this. */
-private fun RoutingState.expectCached(facts: RequestFacts, target: Target, now: Moment): RoutingState {
+private fun RoutingState.expectCached(facts: RequestFacts, target: Target, transfer: Transfer, now: Moment): RoutingState {
     val weights = target.weights ?: return this
     if (facts.chain.isEmpty()) return this
-    return copy(knowledge = knowledge.learn(target.placement.endpoint, facts.chain.cacheKeys(weights), now))
+    val known = knowledge.learn(target.placement.endpoint, facts.chain.cacheKeys(weights), now)
+    val store = transfer.name?.takeIf { transfer.isStored }
+    return copy(knowledge = if (store == null) known else known.learn(store, facts.chain.dropLast(1).cacheKeys(weights), now))
 }
 
 internal fun List<Long>.cacheKeys(weights: WeightsVersion): List<Long> =
@@ -143,6 +264,7 @@
         .filter { it.facts.id !in retries }
         .mapNotNull { it.facts.workspace }
         .distinct()
+        .filter { view.catalogue.workspaces[it]?.isLimited ?: false }
         .fold(unchanged()) { step, workspace -> step.then { it.balance(workspace, now) } }
 
 /** Returns the state after [workspace] asked for or gave back tokens, as it needs. */
@@ -188,12 +310,16 @@
         facts.digest in view.catalogue.quarantine -> quarantined()
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         facts.key != null && facts.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
-        now < facts.deadline -> null
+        now < (retries[facts.id]?.until ?: facts.queueUntil) -> null
         workspace != null && !hasTokens(facts) ->
-            Refusal(RefusalKind.OVER_RATE, "workspace $workspace is over its rate", retryAfter = facts.deadline - facts.arrived)
+            Refusal(RefusalKind.OVER_RATE, "workspace $workspace is over its rate", retryAfter = retryAfter(facts))
+        facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, "no endpoint was free in time", retryAfter = retryAfter(facts))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint was free within the route's deadline")
     }
 }
 
+/** A request may come again after about as long as it was held here. */
+private fun retryAfter(facts: RequestFacts): Duration = facts.queueUntil - facts.arrived
+
 internal fun quarantined(): Refusal =
     Refusal(RefusalKind.QUARANTINED, "this request is held back: endpoints died while they worked on it")
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -10,6 +10,7 @@
 import sniperoute.process.clock.Moment
 import sniperoute.request.routing.message.RequestId
 import sniperoute.version.message.Endpoint
+import sniperoute.version.message.ModelName
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceKind
 import sniperoute.version.message.ServiceName
@@ -61,8 +62,15 @@
     public val broken: PersistentList<BrokenWork> = persistentListOf(),
     public val diedAt: Moment = Moment.EARLIEST,
     public val tokenCost: Duration = FIRST_TOKEN_COST,
+    public val release: String? = null,
+    public val modelWeights: PersistentMap<ModelName, WeightsVersion> = persistentMapOf(),
+    public val isChanging: Boolean = false,
+    public val faults: Double = 0.0,
 )
 
+/** Returns the weights that a request for [model] meets here, or `null` when they are not known or there are none. */
+public fun EndpointState.weightsFor(model: ModelName?): WeightsVersion? = if (model == null) weights else modelWeights[model]
+
 /** The time to compute one prompt token, before any answer shows it. */
 public val FIRST_TOKEN_COST: Duration = 50.microseconds
 
@@ -74,7 +82,7 @@
 private const val COST_WEIGHT = 0.1
 
 /** Whether new work may go here at [now], slots aside. */
-public fun EndpointState.isUsable(now: Moment): Boolean = !isLeaving && now >= downUntil
+public fun EndpointState.isUsable(now: Moment): Boolean = !isLeaving && !isChanging && now >= downUntil
 
 /** Returns the slots that are free, by own work and by what others had there at the last report. */
 public fun EndpointState.freeSlots(now: Moment): Int = endpoint.slots - own.size - othersRunning(now)
@@ -109,6 +117,17 @@
 /** Returns the endpoint without the request [id]. */
 public fun EndpointState.finished(id: RequestId): EndpointState = copy(own = own.remove(id))
 
+/** Returns the endpoint after it did not take a request at [now]: whatever filled it may be over soon. */
+public fun EndpointState.rejected(now: Moment): EndpointState = copy(downUntil = maxOf(downUntil, now + REJECTION_REST))
+
+private val REJECTION_REST = 100.milliseconds
+
+private const val FAULT_WEIGHT = 0.1
+
+/** Returns the endpoint after a complete answer that was a fault, or none when [isFault] is `false`. */
+public fun EndpointState.judged(isFault: Boolean): EndpointState =
+    copy(faults = faults * (1 - FAULT_WEIGHT) + if (isFault) FAULT_WEIGHT else 0.0)
+
 /** Returns the endpoint after a call failed at [now]; it rests, longer with each failure in a row. */
 public fun EndpointState.failed(now: Moment): EndpointState {
     val rest = SHORTEST_DOWN * (1 shl minOf(failures, MOST_DOUBLINGS))
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
@@ -12,7 +12,6 @@
 import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.request.routing.message.RequestFacts
 import sniperoute.request.routing.message.RequestId
-import sniperoute.version.message.RequestClass
 import sniperoute.version.message.WorkspaceName
 
 /** The most requests of one workspace that may wait for one service. */
@@ -27,8 +26,8 @@
 /** The workspaces of one class, and the virtual time. */
 public data class ClassQueue(public val virtual: Long, public val workspaces: PersistentMap<WorkspaceName, WorkspaceQueue>)
 
-/** All that waits for one service. */
-public data class FairQueue(public val classes: PersistentMap<RequestClass, ClassQueue>)
+/** All that waits for one service, by rank; lower ranks go first. */
+public data class FairQueue(public val classes: PersistentMap<Int, ClassQueue>)
 
 /** Returns a queue in which nothing waits. */
 public fun emptyFairQueue(): FairQueue = FairQueue(persistentMapOf())
@@ -45,14 +44,14 @@
 public fun FairQueue.addFirst(request: Waiting): FairQueue = checkNotNull(insertOrNull(request, atFront = true))
 
 private fun FairQueue.insertOrNull(request: Waiting, atFront: Boolean): FairQueue? {
-    val classQueue = classes[request.facts.requestClass] ?: ClassQueue(0, persistentMapOf())
+    val classQueue = classes[request.facts.rank] ?: ClassQueue(0, persistentMapOf())
     val own = classQueue.workspaces[request.owner] ?: WorkspaceQueue(classQueue.virtual, persistentListOf())
     if (!atFront && own.waiting.size >= MOST_WAITING_PER_WORKSPACE) return null
     val longer = own.copy(waiting = if (atFront) own.waiting.add(0, request) else own.waiting.add(request))
-    return withClass(request.facts.requestClass, classQueue.copy(workspaces = classQueue.workspaces.put(request.owner, longer)))
+    return withClass(request.facts.rank, classQueue.copy(workspaces = classQueue.workspaces.put(request.owner, longer)))
 }
 
-private fun FairQueue.withClass(name: RequestClass, queue: ClassQueue): FairQueue = FairQueue(classes.put(name, queue))
+private fun FairQueue.withClass(name: Int, queue: ClassQueue): FairQueue = FairQueue(classes.put(name, queue))
 
 /** A request that was taken out, and the rest. */
 public data class Taken(public val request: Waiting, public val rest: FairQueue)
@@ -62,7 +61,7 @@
 
 /** Returns the first request in fair order that [isEligible], or `null`. Of each workspace the first [LOOK_AHEAD] are asked about. */
 public fun FairQueue.takeOrNull(isEligible: (Waiting) -> Boolean): Taken? =
-    RequestClass.entries.firstNotNullOfOrNull { name ->
+    classes.keys.sorted().firstNotNullOfOrNull { name ->
         classes[name]?.takeOrNull(isEligible)?.let { (request, rest) -> Taken(request, withClass(name, rest)) }
     }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -6,8 +6,8 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.process.clock.Moment
-import sniperoute.request.prefix.decision.PIECE_TOKENS
 import sniperoute.request.prefix.decision.rendezvousWeight
 import sniperoute.request.routing.message.RequestFacts
 import sniperoute.version.message.EndpointName
@@ -18,7 +18,8 @@
 /**
  * A request to be placed among [candidates], all of which may get it, though some may have no slot free. [heldPieces] says how
  * many leading pieces of its prompt each endpoint is believed to hold, [sharing] how many requests in work have the same whole
- * pieces; [sequence] counts the placements before this one.
+ * pieces; [sequence] counts the placements before this one. [heldTokens] are the pieces in tokens; [handicaps] make endpoints
+ * dearer that serve older weights or fail more than others.
  */
 public class PlacementQuestion(
     public val facts: RequestFacts,
@@ -26,8 +27,13 @@
     public val heldPieces: PersistentMap<EndpointName, Int>,
     public val sharing: Int,
     public val sequence: Long,
+    public val heldTokens: PersistentMap<EndpointName, Long> = heldPieces.mapToTokens(facts),
+    public val handicaps: PersistentMap<EndpointName, Duration> = persistentMapOf(),
 )
 
+private fun PersistentMap<EndpointName, Int>.mapToTokens(facts: RequestFacts): PersistentMap<EndpointName, Long> =
+    entries.fold(persistentMapOf()) { all, (name, pieces) -> all.put(name, facts.tokensOf(pieces)) }
+
 /** Where a request goes, and how many of its prompt's tokens are expected to be computed there. */
 public data class Placement(public val endpoint: EndpointName, public val missedTokens: Long)
 
@@ -47,7 +53,7 @@
  * told apart by rendezvous hashing.
  */
 public fun soonestToken(recomputeWeight: Double): PlaceRequest = { question, now ->
-    val subject = question.facts.chain.firstOrNull() ?: question.facts.hash
+    val subject = question.facts.subject
     val weight = (recomputeWeight / (1 + question.sharing.squaredOver(FEW_SHARING))).coerceAtLeast(1.0)
     question.candidates
         .map { candidate -> question.expect(candidate, subject, weight, now) }
@@ -70,8 +76,9 @@
 private fun PlacementQuestion.expect(candidate: EndpointState, subject: Long, recomputeWeight: Double, now: Moment): Expectation {
     val missed = missedTokens(candidate)
     val computing = candidate.tokenCost * (candidate.waitingTokens(now) + missed * recomputeWeight)
-    val steps = ((computing + candidate.batchCost(now)) / EQUAL_TIMES).toLong()
     val name = candidate.endpoint.name
+    val handicap = handicaps[name] ?: Duration.ZERO
+    val steps = ((computing + candidate.batchCost(now) + handicap) / EQUAL_TIMES).toLong()
     return Expectation(Placement(name, missed), steps, rendezvousWeight(subject, name.text), candidate.freeSlots(now) > 0)
 }
 
@@ -89,8 +96,8 @@
 private fun PlacementQuestion.free(now: Moment): List<EndpointState> = candidates.filter { it.freeSlots(now) > 0 }
 
 private fun PlacementQuestion.missedTokens(candidate: EndpointState): Long {
-    val held = heldPieces[candidate.endpoint.name] ?: 0
-    return (facts.promptTokens - held.toLong() * PIECE_TOKENS).coerceAtLeast(0)
+    val held = heldTokens[candidate.endpoint.name] ?: 0
+    return (facts.promptTokens - held).coerceAtLeast(0)
 }
 
 /** Returns the next candidate in turn. */
@@ -110,7 +117,7 @@
 
 /** Returns the candidate that rendezvous hashing of the whole prefix gives, whatever its load. */
 public fun placeByHash(question: PlacementQuestion, now: Moment): Placement? {
-    val subject = question.facts.chain.firstOrNull() ?: question.facts.hash
+    val subject = question.facts.subject
     return question
         .free(now)
         .maxByOrNull { rendezvousWeight(subject, it.endpoint.name.text) }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
@@ -1,29 +1,55 @@
 /**
- * The retry budget: retries may be a tenth of a router's requests and a few a second besides. Every router keeps its own, in
- * proportion to its traffic, so the fleet's retries stay within the same share.
+ * The retry budget of one service at one router: repeats may be a part of the requests of a sliding window, and this router's
+ * part of an extra that all routers share. So the fleet's repeats stay within the budget whatever each router sees.
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-private const val PER_REQUEST = 100L
-private const val PER_RETRY = 1_000L
-private const val PER_SECOND = 2_000L
-private const val MOST = 20_000L
-private const val MICROSECONDS_PER_SECOND = 1_000_000L
+/** Repeats may be [ratio] of the requests of any [window] and [extra] besides, over all routers. */
+public data class RetryAllowance(
+    public val ratio: Double = 0.1,
+    public val extra: Int = 20,
+    public val window: Duration = 10.seconds,
+)
 
-/** What may still be spent on retries, in thousandths of one. */
-public data class RetryBudget(public val left: Long, public val at: Moment)
+private const val WINDOW_PARTS = 10
 
-/** Returns a full budget at [now]. */
-public fun fullRetryBudget(now: Moment): RetryBudget = RetryBudget(MOST, now)
+/** Part of the allowance that is left unused, since windows of different routers don't begin together. */
+private const val USED_SHARE = 0.85
 
-/** Returns the budget after a request came. */
-public fun RetryBudget.earn(): RetryBudget = copy(left = minOf(MOST, left + PER_REQUEST))
+/** Requests and repeats in the part of a window that began at [start]. */
+public data class RetryPart(public val start: Moment, public val requests: Int, public val repeats: Int)
 
-/** Returns the budget after one retry at [now], or `null` when none is left. */
-public fun RetryBudget.spendOrNull(now: Moment): RetryBudget? {
-    val refill = (now.microseconds - at.microseconds).coerceAtLeast(0) * PER_SECOND / MICROSECONDS_PER_SECOND
-    val level = minOf(MOST, left + refill)
-    return if (level < PER_RETRY) null else RetryBudget(level - PER_RETRY, now)
+/** What this router sent in the last window, the oldest part first. */
+public data class RetryBudget(public val parts: PersistentList<RetryPart>)
+
+/** Returns a budget of which nothing is spent. */
+public fun fullRetryBudget(): RetryBudget = RetryBudget(persistentListOf())
+
+private fun RetryBudget.at(now: Moment, allowance: RetryAllowance): RetryBudget {
+    val kept = parts.filter { now - it.start < allowance.window }
+    val isCurrent = kept.isNotEmpty() && now - kept.last().start < allowance.window / WINDOW_PARTS
+    return RetryBudget((if (isCurrent) kept else kept + RetryPart(now, 0, 0)).toPersistentList())
+}
+
+private fun RetryBudget.withLast(change: (RetryPart) -> RetryPart): RetryBudget =
+    RetryBudget(parts.set(parts.lastIndex, change(parts.last())))
+
+/** Returns the budget after a request came at [now]. */
+public fun RetryBudget.earn(now: Moment, allowance: RetryAllowance): RetryBudget =
+    at(now, allowance).withLast { it.copy(requests = it.requests + 1) }
+
+/** Returns the budget after one repeat at [now], or `null` when none is left; [routers] share the extra. */
+public fun RetryBudget.spendOrNull(now: Moment, allowance: RetryAllowance, routers: Int): RetryBudget? {
+    val current = at(now, allowance)
+    val requests = current.parts.sumOf { it.requests }
+    val repeats = current.parts.sumOf { it.repeats }
+    val most = (requests * allowance.ratio + allowance.extra.toDouble() / routers.coerceAtLeast(1)) * USED_SHARE
+    return if (repeats + 1 > most) null else current.withLast { it.copy(repeats = it.repeats + 1) }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -13,21 +13,23 @@
 import sniperoute.request.routing.message.*
 import sniperoute.version.decision.EvidenceKey
 import sniperoute.version.decision.EvidenceSum
+import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.addAnswer
 import sniperoute.version.decision.addFailure
 import sniperoute.version.decision.noEvidence
-import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.Repetition
 import sniperoute.version.message.RequestDigest
-import sniperoute.version.message.Service
 import sniperoute.version.message.ServiceName
+import sniperoute.version.message.isLimited
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.DurationUnit
 
-private const val MOST_ATTEMPTS = 4
+/** Endpoints that may turn a request away beside those that run it. */
+private const val MOST_REJECTIONS = 2
+
 private val SUSPICION_LIFE = 10.minutes
 private val DEADLINE_CHECK_INTERVAL: Duration = 50.milliseconds
 
@@ -44,6 +46,9 @@
     is CacheChanged -> onCacheChanged(input, now).unchanged()
     is EndpointStreamLost -> onDeath(input.endpoint, now)
     is PlatformListed -> onPlatformListed(input).unchanged()
+    is AnswerHeadCame -> onHead(input, now).unchanged()
+    is FleetChanged -> onFleet(input.fleet, place, now)
+    is RoutersCounted -> copy(routers = input.routers).unchanged()
 }
 
 private fun RoutingState.onTime(place: PlaceRequest, now: Moment): RoutingStep {
@@ -70,21 +75,24 @@
         return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.NOT_READY, "this router has no lease")))
     }
     val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
-    if (workspace != null && facts.tokens > workspace.burstTokens) {
+    if (workspace != null && workspace.isLimited && facts.tokens > workspace.burstTokens) {
         val message = "the request may use ${facts.tokens} tokens, more than the burst of ${workspace.burstTokens}"
         return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.OVER_RATE, message)))
     }
     val waiting = Waiting(facts, workspace?.tokensPerSecond ?: 1)
-    val queue = queueOf(facts.route.service).addOrNull(waiting)
+    val queue = queueOf(facts.service).addOrNull(waiting)
         ?: return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.OVERLOADED, "too many requests wait", retryAfter = RETRY_SOON)))
-    return copy(queues = queues.put(facts.route.service, queue), budget = budget.earn()).drain(facts.route.service, place, now)
+    val budget = budgetOf(facts.service).earn(now, settings.retries)
+    return copy(queues = queues.put(facts.service, queue), budgets = budgets.put(facts.service, budget)).drain(facts.service, place, now)
 }
 
+private fun RoutingState.budgetOf(service: ServiceName): RetryBudget = budgets[service] ?: fullRetryBudget()
+
 private val RETRY_SOON = 1_000.milliseconds
 
 private fun RoutingState.onCancelled(id: RequestId, place: PlaceRequest, now: Moment): RoutingStep {
     val run = running[id]
-    val service = run?.facts?.route?.service
+    val service = run?.facts?.service
     val next = copy(
         running = running.remove(id),
         retries = retries.remove(id),
@@ -104,9 +112,26 @@
         .addEvidence(run) { it.addAnswer((now - run.started).toDouble(DurationUnit.MILLISECONDS)) }
 }
 
+/** What an endpoint says with an answer is newer than any list. */
+private fun RoutingState.onHead(input: AnswerHeadCame, now: Moment): RoutingState {
+    val run = running[input.id] ?: return this
+    val signs = input.signs
+    return withEndpoint(run.endpoint) { endpoint ->
+        val model = run.facts.model
+        val weights = signs.weights
+        val served = if (model == null || weights == null) endpoint.modelWeights else endpoint.modelWeights.put(model, weights)
+        val waiting = (signs.waiting ?: 0) * TOKENS_OF_WAITING
+        val report = signs.running?.let { LoadReport(now, it + (signs.waiting ?: 0), waiting, endpoint.own.size, endpoint.ownWaitingTokens()) }
+        endpoint.copy(modelWeights = served, report = report ?: endpoint.report)
+    }
+}
+
+/** Prompt tokens that a request which waits at an endpoint is taken to need, where only their number is told. */
+private const val TOKENS_OF_WAITING = 1_000L
+
 private fun RoutingState.addEvidence(run: RunningRequest, change: (EvidenceSum) -> EvidenceSum): RoutingState {
-    val weights = run.weights ?: return this
-    val key = EvidenceKey(run.facts.route.service, run.facts.route.name, weights)
+    val version = run.release ?: run.weights ?: return this
+    val key = EvidenceKey(run.facts.service, run.facts.route.name, version)
     return copy(evidence = evidence.put(key, change(evidence[key] ?: noEvidence())))
 }
 
@@ -117,13 +142,14 @@
         is Answered -> ended.onAnswered(run, result, now).unchanged()
         is Unanswered -> ended.onUnanswered(run, result, now)
     }
-    return next.then { it.drain(run.facts.route.service, place, now) }
+    return next.then { it.drain(run.facts.service, place, now) }
 }
 
 private fun RoutingState.onAnswered(run: RunningRequest, result: Answered, now: Moment): RoutingState {
-    val settled = copy(retries = retries.remove(run.facts.id)).settle(run, result, now)
-    val judged = if (result.isFault) settled.addEvidence(run) { it.addFailure() } else settled
-    return judged.correctKnowledge(run, result, now)
+    val settled = copy(retries = retries.remove(run.facts.id))
+        .withEndpoint(run.endpoint) { it.judged(result.isFault) }
+        .settle(run, result, now)
+    return if (result.isFault) settled.addEvidence(run) { it.addFailure() } else settled
 }
 
 private fun RoutingState.settle(run: RunningRequest, result: Answered, now: Moment): RoutingState {
@@ -132,23 +158,18 @@
     return copy(tokens = tokens.settle(workspace, run.facts.tokens - used, now))
 }
 
-/** An engine that computed more than was expected does not hold what it was believed to hold, except what it computed now. */
-private fun RoutingState.correctKnowledge(run: RunningRequest, result: Answered, now: Moment): RoutingState {
-    val weights = run.weights ?: return this
-    if (result.cachedTokens == null || run.facts.chain.isEmpty()) return this
-    return copy(knowledge = knowledge.learn(run.endpoint, run.facts.chain.cacheKeys(weights), now))
-}
-
 private fun RoutingState.onUnanswered(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep =
     noteFailure(run, result, now).then { it.retryOrGiveUp(run, result, now) }
 
 private fun RoutingState.noteFailure(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
-    val isCertain = result.reach == Reach.NOT_RUN || result.reach == Reach.REJECTED
+    val isCertain = result.reach.isNotRun
     val judged = if (isCertain) this else addEvidence(run) { it.addFailure() }
     val endpoint = endpoints[run.endpoint] ?: return judged.unchanged()
     return when (result.reach) {
         Reach.NOT_RUN -> judged.onDeath(run.endpoint, now)
-        Reach.REJECTED -> judged.withEndpoint(run.endpoint) { it.failed(now) }.unchanged()
+        Reach.REJECTED -> judged.withEndpoint(run.endpoint) { it.rejected(now) }.unchanged()
+        Reach.ELSEWHERE -> judged.withEndpoint(run.endpoint) { it.failed(now) }.unchanged()
+        Reach.FAULTED -> judged.withEndpoint(run.endpoint) { it.judged(isFault = true) }.unchanged()
         Reach.BROKEN -> judged.onBroken(endpoint, run.facts.digest, now)
         Reach.SILENT -> judged.withEndpoint(run.endpoint) { it.silent(now) }.unchanged()
         Reach.WRONG -> judged.unchanged()
@@ -169,7 +190,7 @@
 }
 
 /** An endpoint was found dead: what broke there shortly before is suspected of it. */
-private fun RoutingState.onDeath(name: EndpointName, now: Moment): RoutingStep {
+internal fun RoutingState.onDeath(name: EndpointName, now: Moment): RoutingStep {
     val endpoint = endpoints[name] ?: return unchanged()
     val forgotten = copy(knowledge = knowledge.forget(name)).withEndpoint(name) { it.failed(now).died(now) }
     return forgotten.charge(endpoint, endpoint.recentlyBroken(now), now)
@@ -183,19 +204,37 @@
 
 private fun RoutingState.retryOrGiveUp(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
     val id = run.facts.id
-    val isFree = result.reach == Reach.NOT_RUN || result.reach == Reach.REJECTED
-    val isAllowed = isFree || (result.mayRepeat && run.facts.route.repetition == Repetition.REPEATABLE)
-    val mayTry = isAllowed && !isSecondDeath(run, result) && run.attempt < MOST_ATTEMPTS && now < run.facts.deadline
-    val spent = if (isFree) budget else budget.spendOrNull(now)
-    if (!mayTry || spent == null) return copy(retries = retries.remove(id)).unchanged().order(GiveUp(id, result.reason))
+    val facts = run.facts
+    val isFree = result.reach.isNotRun
+    val runs = (retries[id]?.runs ?: 0) + if (isFree) 0 else 1
+    val isAllowed = isFree || (result.mayRepeat && facts.route.repetition == Repetition.REPEATABLE)
+    val hasAttempts = runs < facts.route.mostEndpoints && run.attempt < facts.route.mostEndpoints + MOST_REJECTIONS
+    val mayTry = isAllowed && hasAttempts && !isSecondDeath(run, result) && now < facts.deadline
+    val budget = budgetOf(facts.service)
+    val spent = if (result.reach == Reach.NOT_RUN) budget else budget.spendOrNull(now, settings.retries, routers)
+    if (!mayTry || spent == null) return giveUp(run, result, now)
     val note = RetryNote(
         attempts = run.attempt,
         failedAt = (retries[id]?.failedAt ?: noFailures()).add(run.endpoint),
         weights = if (isFree && retries[id] == null) null else run.weights,
+        runs = runs,
+        until = minOf(facts.deadline, now + (facts.queueUntil - facts.arrived)),
     )
-    val service = run.facts.route.service
-    val queue = queueOf(service).addFirst(Waiting(run.facts, 1))
-    return copy(budget = spent, retries = retries.put(id, note), queues = queues.put(service, queue)).unchanged()
+    val weight = facts.workspace?.let { view.catalogue.workspaces[it] }?.tokensPerSecond ?: 1
+    val queue = queueOf(facts.service).addFirst(Waiting(facts, weight))
+    return copy(
+        budgets = budgets.put(facts.service, spent),
+        retries = retries.put(id, note),
+        queues = queues.put(facts.service, queue),
+    ).unchanged()
+}
+
+/** A request that no endpoint ran costs its workspace nothing. */
+private fun RoutingState.giveUp(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
+    val facts = run.facts
+    val isNotRun = result.reach.isNotRun && (retries[facts.id]?.runs ?: 0) == 0
+    val refunded = if (isNotRun && facts.workspace != null) tokens.settle(facts.workspace, facts.tokens, now) else tokens
+    return copy(retries = retries.remove(facts.id), tokens = refunded).unchanged().order(GiveUp(facts.id, result.reason))
 }
 
 /** Whether this attempt broke like an earlier one that is suspected of an endpoint's death. */
@@ -204,26 +243,18 @@
 
 private fun RoutingState.onViewChanged(newView: ServingView, place: PlaceRequest, now: Moment): RoutingStep {
     val changed = newView.catalogue.revision != view.catalogue.revision
-    val next = copy(view = newView)
+    val next = copy(view = newView).withNamedWeights(now)
     if (!changed) return next.drainAll(place, now)
-    return next.withDeclaredEndpoints().refuseWaiting(now).then { it.drainAll(place, now) }
+    return next.withKnownEndpoints(now).then { it.refuseWaiting(now) }.then { it.drainAll(place, now) }
 }
 
-private fun RoutingState.withDeclaredEndpoints(): RoutingState {
-    val declared = view.catalogue.services.values
-        .flatMap { service -> service.endpoints.map { service to it } }
-    val kept = declared.fold(endpoints.clear()) { all, (service, endpoint) ->
-        all.put(endpoint.name, endpoints[endpoint.name]?.redeclared(service, endpoint) ?: newEndpoint(service, endpoint))
-    }
-    val gone = endpoints.keys.filter { it !in kept }
-    return copy(endpoints = kept, knowledge = gone.fold(knowledge, CacheKnowledge::forget))
+private fun RoutingState.withNamedWeights(now: Moment): RoutingState {
+    val newer = view.catalogue.weights.values.filter { it.number > (named[it.model]?.number ?: 0) }
+    return copy(named = newer.fold(named) { all, weights -> all.put(weights.model, NamedWeights(weights.number, now)) })
 }
 
-private fun newEndpoint(service: Service, endpoint: Endpoint): EndpointState =
-    EndpointState(endpoint, service.name, service.kind)
-
-private fun EndpointState.redeclared(service: Service, declared: Endpoint): EndpointState =
-    copy(endpoint = declared, service = service.name, kind = service.kind)
+private fun RoutingState.onFleet(newFleet: FleetView, place: PlaceRequest, now: Moment): RoutingStep =
+    copy(fleet = newFleet).withKnownEndpoints(now).then { it.drainAll(place, now) }
 
 private fun RoutingState.onTokens(input: TokensGranted, place: PlaceRequest, now: Moment): RoutingStep =
     copy(tokens = tokens.granted(input.workspace, input.tokens, input.retryAfter, now)).drainAll(place, now)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -17,25 +17,35 @@
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.noEvidenceTable
+import sniperoute.version.decision.FleetView
+import sniperoute.version.decision.unknownFleet
 import sniperoute.version.message.EndpointName
+import sniperoute.version.message.ModelName
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
+import kotlin.time.Duration
 
-/** A request that is in work at [endpoint], in its attempt number [attempt]. */
+/** A request that is in work at [endpoint], in its attempt number [attempt]; [release] is the version of a listed endpoint's software. */
 public data class RunningRequest(
     public val facts: RequestFacts,
     public val endpoint: EndpointName,
     public val weights: WeightsVersion?,
     public val attempt: Int,
     public val started: Moment,
+    public val release: WeightsVersion? = null,
 )
 
-/** What is kept of a request that waits for another attempt: where it failed, and the weights it began with. */
+/**
+ * What is kept of a request that waits for another attempt: where it failed, the weights it began with, how many of its attempts
+ * may have run, and until when it may wait.
+ */
 public data class RetryNote(
     public val attempts: Int,
     public val failedAt: PersistentSet<EndpointName>,
     public val weights: WeightsVersion?,
+    public val runs: Int = attempts,
+    public val until: Moment,
 )
 
 /** Everything that the routing duty knows. */
@@ -47,15 +57,29 @@
     public val tokens: TokenPools,
     public val running: PersistentMap<RequestId, RunningRequest>,
     public val retries: PersistentMap<RequestId, RetryNote>,
-    public val budget: RetryBudget,
+    public val budgets: PersistentMap<ServiceName, RetryBudget>,
     public val suspects: PersistentMap<RequestDigest, Moment>,
     public val evidence: EvidenceTable,
     public val sequence: Long,
     public val deadlinesChecked: Moment,
+    public val settings: RoutingSettings = RoutingSettings(),
+    public val routers: Int = 1,
+    public val fleet: FleetView = unknownFleet(),
+    public val members: PersistentMap<ServiceName, PersistentList<EndpointName>> = persistentMapOf(),
+    public val named: PersistentMap<ModelName, NamedWeights> = persistentMapOf(),
 )
 
+/** What routing is given at the start. Requests no longer begin on weights that are older than others named [weightsLimit] ago. */
+public data class RoutingSettings(
+    public val retries: RetryAllowance = RetryAllowance(),
+    public val weightsLimit: Duration? = null,
+)
+
+/** The newest weights of a model and when this router learned of them. */
+public data class NamedWeights(public val number: Long, public val seen: Moment)
+
 /** Returns the state of a router that has just started at [now]. */
-public fun newRoutingState(now: Moment): RoutingState = RoutingState(
+public fun newRoutingState(now: Moment, settings: RoutingSettings = RoutingSettings()): RoutingState = RoutingState(
     view = ServingView(emptyCatalogue(), Moment.EARLIEST),
     endpoints = persistentMapOf(),
     knowledge = noCacheKnowledge(),
@@ -63,11 +87,12 @@
     tokens = noTokenPools(),
     running = persistentMapOf(),
     retries = persistentMapOf(),
-    budget = fullRetryBudget(now),
+    budgets = persistentMapOf(),
     suspects = persistentMapOf(),
     evidence = noEvidenceTable(),
     sequence = 0,
     deadlinesChecked = now,
+    settings = settings,
 )
 
 /** A state and what was ordered on the way to it. */
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -4,11 +4,15 @@
 package sniperoute.request.routing.message
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import sniperoute.process.clock.Moment
+import sniperoute.request.prefix.decision.PIECE_TOKENS
 import sniperoute.version.message.KeyDigest
+import sniperoute.version.message.ModelName
 import sniperoute.version.message.RequestClass
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.Route
+import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WorkspaceName
 
 /** The identity of one request at one router. */
@@ -19,7 +23,9 @@
 
 /**
  * A request that was admitted. [chain] holds one hash for each whole piece of the prompt, each covering the pieces before
- * it; [promptTokens] and [answerTokens] are upper estimates; [hash] spreads requests over shares and endpoints.
+ * it; [partTokens] are the tokens up to each of them, where pieces differ. [promptTokens] and [answerTokens] are upper
+ * estimates, and [charge] is what counts against the allowance; [hash] spreads requests over shares, and those with the same [subject] belong together. It may wait here until
+ * [queueUntil]; requests of a lower [rank] go first.
  */
 public data class RequestFacts(
     public val id: RequestId,
@@ -33,9 +39,23 @@
     public val answerTokens: Long,
     public val arrived: Moment,
     public val deadline: Moment,
+    public val service: ServiceName = route.service,
+    public val model: ModelName? = null,
+    public val partTokens: PersistentList<Long> = persistentListOf(),
+    public val subject: Long = chain.firstOrNull() ?: hash,
+    public val rank: Int = route.rank,
+    public val queueUntil: Moment = deadline,
+    public val charge: Long = promptTokens + answerTokens,
 ) {
     /** What the request may use of its workspace's rate, in tokens. */
-    public val tokens: Long get() = promptTokens + answerTokens
+    public val tokens: Long get() = charge
+
+    /** Returns the tokens of the first [links] parts of the prompt. */
+    public fun tokensOf(links: Int): Long = when {
+        links <= 0 -> 0
+        partTokens.isEmpty() -> links.toLong() * PIECE_TOKENS
+        else -> partTokens[minOf(links, partTokens.size) - 1]
+    }
 
     /** How urgent it is. */
     public val requestClass: RequestClass get() = route.requestClass
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -9,7 +9,9 @@
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
+import sniperoute.version.decision.FleetView
 import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.StorePlace
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
 import kotlin.time.Duration
@@ -36,6 +38,22 @@
 public data class TokensGranted(public val workspace: WorkspaceName, public val tokens: Long, public val retryAfter: Duration) :
     RoutingInput
 
+/** What an answer's head tells of its endpoint, as far as it does: requests in work, requests that wait, slots, and weights. */
+public data class AnswerSigns(
+    public val running: Int? = null,
+    public val waiting: Int? = null,
+    public val weights: WeightsVersion? = null,
+)
+
+/** The head of an answer came. */
+public data class AnswerHeadCame(public val id: RequestId, public val signs: AnswerSigns) : RoutingInput
+
+/** The leader's view of the listed endpoints changed, or this router read the platform's list itself. */
+public data class FleetChanged(public val fleet: FleetView) : RoutingInput
+
+/** So many routers share the fleet's allowances. */
+public data class RoutersCounted(public val routers: Int) : RoutingInput
+
 /** An engine said who it is and what it works on. */
 public data class EndpointReported(
     public val endpoint: EndpointName,
@@ -80,6 +98,12 @@
     /** The endpoint said that it did not run the request. */
     REJECTED,
 
+    /** Another endpoint has the address, or it serves other weights; it did not run the request. */
+    ELSEWHERE,
+
+    /** The endpoint answered, completely, that it failed. */
+    FAULTED,
+
     /** The connection ended without an answer, as when the endpoint dies. */
     BROKEN,
 
@@ -90,19 +114,28 @@
     WRONG,
 }
 
+/** Whether an attempt that went so far certainly did not run. */
+public val Reach.isNotRun: Boolean get() = this == Reach.NOT_RUN || this == Reach.REJECTED || this == Reach.ELSEWHERE
+
 /** The attempt was not answered; [mayRepeat] says whether the request may go to an endpoint again. */
 public data class Unanswered(public val reach: Reach, public val mayRepeat: Boolean, public val reason: String) : AttemptResult
 
 /** What the routing duty orders. */
 public sealed interface RoutingOrder
 
-/** Send the request to [endpoint]. */
+/**
+ * Send the request to [endpoint]. It may fetch cached parts from [importFrom], and those that it computes go to [storeTo].
+ * [grounds] says for people what the choice rests on.
+ */
 public data class Dispatch(
     public val id: RequestId,
     public val endpoint: Endpoint,
     public val weights: WeightsVersion?,
     public val attempt: Int,
     public val isFresh: Boolean,
+    public val importFrom: StorePlace? = null,
+    public val storeTo: StorePlace? = null,
+    public val grounds: String = "",
 ) : RoutingOrder
 
 /** Answer the request with [refusal]. */
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -5,18 +5,18 @@
 package sniperoute.request.run
 
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toImmutableList
 import sniperoute.connection.endpoint.CallEndpoint
+import sniperoute.connection.endpoint.message.AnswerBegan
 import sniperoute.connection.endpoint.message.CallEvent
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
 import sniperoute.connection.endpoint.message.RunningCall
 import sniperoute.connection.http.AnswerHead
+import sniperoute.connection.http.CancelTimer
 import sniperoute.connection.http.Exchange
 import sniperoute.connection.http.ExchangeWatch
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.codec.OUTCOME_HEADER
-import sniperoute.connection.http.codec.errorAnswer
 import sniperoute.connection.http.valueOrNull
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Moment
@@ -29,10 +29,11 @@
 import sniperoute.request.ledger.message.*
 import sniperoute.request.routing.message.*
 import sniperoute.request.run.decision.*
+import sniperoute.request.run.message.AnswerRules
+import sniperoute.request.run.message.Dialect
+import sniperoute.request.run.message.OutgoingRequest
 import sniperoute.version.message.Repetition
-import sniperoute.version.message.ServiceKind
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Hands [input] to the routing duty, or returns `false` when it can't take more. */
 public typealias TellRouting = (input: RoutingInput) -> Boolean
@@ -53,36 +54,19 @@
     public val ended: OnRunEnd,
 )
 
-/** The parts of a request that are passed to an endpoint. */
+/** What a front end made of a request; at [endsAt], if that is set, its caller gets an answer whatever has come by then. */
 public class PassedRequest(
-    public val kind: ServiceKind,
+    public val rules: AnswerRules,
+    public val dialect: Dialect,
     public val wantsStream: Boolean,
     public val cacheSalt: Long,
     public val ledgerKey: LedgerKey?,
     public val owner: LedgerOwner,
     public val configuration: Long,
+    public val endsAt: Moment? = null,
 )
 
 private const val LONGEST_RECORDED_ANSWER = 16 * 1024
-private val SHORTEST_WAIT = 10.milliseconds
-private val NEVER_PASSED = setOf(
-    "authorization",
-    "x-api-key",
-    "proxy-authorization",
-    "cookie",
-    "host",
-    "connection",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    "x-request-id",
-    "last-event-id",
-)
-private val NEVER_RETURNED = setOf("connection", "keep-alive", "transfer-encoding", "content-length", "x-request-id", "trailer", "upgrade")
 
 /** One request under way. Every function runs on the thread of the caller's connection. */
 public class RequestRun internal constructor(
@@ -91,11 +75,13 @@
     private val exchange: Exchange,
     private val outlets: RunOutlets,
 ) {
-    private var assembly = newAssembly(passed.kind, passed.wantsStream)
+    private var assembly = newAssembly(passed.rules)
     private var call: RunningCall? = null
     private var placed: Dispatch? = null
     private var sentAt = Moment.EARLIEST
     private var firstToken: Moment? = null
+    private var faultAnswer: CompleteWhole? = null
+    private var cancelTimer: CancelTimer = {}
     private var mayHaveRun = false
     private var isOver = false
     private var isCallerGone = false
@@ -106,7 +92,8 @@
     /** Begins: with the ledger, when the call may run only once and carries a key, else with routing. */
     public fun begin() {
         exchange.watch(ExchangeWatch(writable = { call?.read(it) }, gone = ::callerGone))
-        record(EventKind.REQUEST_ADMITTED, detail = "route ${facts.route.name}")
+        record(EventKind.REQUEST_ADMITTED, detail = describeFacts())
+        passed.endsAt?.let { cancelTimer = exchange.after(it - outlets.clock(), ::timeOver) }
         val key = passed.ledgerKey
         if (key == null) arrive() else outlets.askLedger(BeginCall(key, passed.owner, facts.digest), false, ::onLedger)
     }
@@ -167,57 +154,41 @@
             assembly.delivered > 0 -> EventKind.REQUEST_RESUMED
             else -> EventKind.REQUEST_RETRIED
         }
-        record(kind, detail = "attempt ${order.attempt}")
+        record(kind, detail = "attempt ${order.attempt} ${order.grounds}")
         call = outlets.call(order.toCall()) { event -> onCallEvent(order, event) }
     }
 
-    private fun Dispatch.toCall(): EndpointCall = EndpointCall(
-        address = EndpointAddress(endpoint.host, endpoint.port),
-        requestId = facts.id.text,
-        method = exchange.head.method,
-        target = if (exchange.head.query.isEmpty()) exchange.head.path else "${exchange.head.path}?${exchange.head.query}",
-        headers = passedHeaders(this),
-        body = exchange.body,
-        gap = gap(),
-        fresh = isFresh || facts.route.repetition == Repetition.ONCE_ONLY,
-    )
-
-    /**
-     * A streamed answer must go on within the route's gap. A whole one may take until the deadline; if it may be repeated, half
-     * of the time left, so that there is time for another attempt.
-     */
-    private fun gap(): Duration {
-        val gap = facts.route.gapMilliseconds.milliseconds
-        val left = (facts.deadline - outlets.clock()).coerceAtLeast(SHORTEST_WAIT)
-        return when {
-            passed.wantsStream -> gap
-            facts.route.repetition == Repetition.REPEATABLE -> maxOf(gap, left / 2)
-            else -> left
-        }
+    private fun Dispatch.toCall(): EndpointCall {
+        val left = facts.deadline - outlets.clock()
+        return EndpointCall(
+            address = EndpointAddress(endpoint.host, endpoint.port),
+            requestId = passed.dialect.outerId(exchange.head, facts.id),
+            method = exchange.head.method,
+            target = if (exchange.head.query.isEmpty()) exchange.head.path else "${exchange.head.path}?${exchange.head.query}",
+            headers = passed.dialect.wordRequest(OutgoingRequest(exchange.head, facts, this, assembly.lastId, passed.cacheSalt, left)),
+            body = exchange.body,
+            gap = passed.dialect.silencePatience(facts, passed.wantsStream, left),
+            fresh = isFresh || facts.route.repetition == Repetition.ONCE_ONLY,
+        )
     }
 
-    private fun passedHeaders(dispatch: Dispatch) = buildList {
-        addAll(exchange.head.headers.filter { it.name !in NEVER_PASSED })
-        add(Header("x-priority", facts.requestClass.text))
-        if (dispatch.weights != null) {
-            add(Header("x-weights-version", dispatch.weights.text))
-            add(Header("x-cache-salt", passed.cacheSalt.toString()))
-        }
-        if (assembly.delivered > 0) add(Header("last-event-id", assembly.delivered.toString()))
-    }.toImmutableList()
-
     private fun onCallEvent(dispatch: Dispatch, event: CallEvent) = exchange.onConnectionThread {
         if (!isOver && placed === dispatch) {
+            if (event is AnswerBegan) tellSigns(event.head)
             val step = assembly.take(event)
             assembly = step.assembly
             step.actions.forEach { if (placed === dispatch) carryOut(it) }
         }
     }
 
+    private fun tellSigns(head: AnswerHead) {
+        passed.dialect.readSigns(head)?.let { outlets.tellRouting(AnswerHeadCame(facts.id, it)) }
+    }
+
     private fun carryOut(action: AssemblyAction) {
         when (action) {
             is NoteFirst -> noteFirst()
-            is BeginAnswer -> exchange.begin(AnswerHead(action.head.status, action.head.returnedHeaders()))
+            is BeginAnswer -> exchange.begin(action.head.worded(null))
             is PassOn -> exchange.send(action.bytes)
             is CompleteStream -> completeStream()
             is CompleteWhole -> completeWhole(action)
@@ -237,8 +208,7 @@
     }
 
     private fun completeWhole(action: CompleteWhole) {
-        val headers = action.head.returnedHeaders() + Header(OUTCOME_HEADER, Outcome.RAN.text)
-        if (!isCallerGone) exchange.answer(AnswerHead(action.head.status, headers.toImmutableList()), action.content)
+        if (!isCallerGone) exchange.answer(action.head.worded(Outcome.RAN), action.content)
         passed.ledgerKey?.let { key -> finishCall(key, action) }
         answered(isFault = action.head.status >= SERVER_ERRORS)
     }
@@ -258,7 +228,8 @@
     }
 
     private fun failAttempt(action: FailAttempt) {
-        if (action.reach != Reach.NOT_RUN && action.reach != Reach.REJECTED) mayHaveRun = true
+        if (!action.reach.isNotRun) mayHaveRun = true
+        faultAnswer = action.answer ?: faultAnswer
         call?.cancel()
         call = null
         noteFailure(action)
@@ -290,18 +261,43 @@
 
     private fun giveUp(reason: String) {
         val outcome = if (mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
+        val fault = faultAnswer
         when {
             assembly.hasStarted -> breakOff(reason)
+            fault != null -> passFault(fault)
             outcome == Outcome.NOT_RUN -> refuse(Refusal(RefusalKind.NO_ENDPOINT, reason))
-            else -> {
-                passed.ledgerKey?.let {
-                    outlets.askLedger(
-                        LoseCall(it, passed.owner),
-                        true,
-                    ) { record(EventKind.ONCE_ONLY_UNKNOWN, outcome) }
-                }
-                tell(RefusalKind.ENDPOINT_FAILED, reason, outcome)
-            }
+            else -> loseCall(RefusalKind.ENDPOINT_FAILED, reason)
+        }
+    }
+
+    private fun loseCall(kind: RefusalKind, reason: String) {
+        passed.ledgerKey?.let {
+            outlets.askLedger(LoseCall(it, passed.owner), true) { record(EventKind.ONCE_ONLY_UNKNOWN, Outcome.MAY_HAVE_RUN) }
+        }
+        tell(kind, reason, Outcome.MAY_HAVE_RUN)
+    }
+
+    /** Nothing better came than what an endpoint said of its failure: that is for the caller, as it is. */
+    private fun passFault(answer: CompleteWhole) {
+        if (!isCallerGone) exchange.answer(answer.head.worded(Outcome.RAN), answer.content)
+        passed.ledgerKey?.let { key -> finishCall(key, answer) }
+        record(EventKind.REQUEST_ANSWERED, Outcome.RAN, "the endpoint's failure ${answer.head.status}")
+        end(Outcome.RAN)
+    }
+
+    /** The caller's time is over: it gets its answer now, whatever the endpoint may still say. */
+    private fun timeOver() {
+        if (isOver || isCallerGone) return
+        isAbandoned = true
+        val wasPlaced = placed != null
+        call?.cancel()
+        placed = null
+        outlets.tellRouting(Cancelled(facts.id))
+        mayHaveRun = mayHaveRun || wasPlaced
+        when {
+            assembly.hasStarted -> breakOff("the deadline passed")
+            mayHaveRun -> loseCall(RefusalKind.DEADLINE, "the deadline passed")
+            else -> refuse(Refusal(RefusalKind.DEADLINE, "the deadline passed"))
         }
     }
 
@@ -313,20 +309,17 @@
     }
 
     private fun tell(kind: RefusalKind, message: String, outcome: Outcome, retryAfter: Duration? = null) {
-        val more = listOfNotNull(
-            retryAfter?.let { Header("retry-after", it.inWholeSeconds.coerceAtLeast(1).toString()) },
-            Header("x-request-id", facts.id.text),
-        )
-        val answer = errorAnswer(kind.status, kind.text, message, outcome.text, more.toImmutableList())
+        val answer = passed.dialect.wordRefusal(Refusal(kind, message, outcome, retryAfter), facts.id)
         exchange.answer(answer.head, answer.content)
         record(EventKind.REQUEST_REFUSED, outcome, "${kind.text}: $message")
         end(outcome)
     }
 
-    /** A call that may run only once goes on without its caller, so that its outcome is known. */
+    /** A call that may run only once goes on without its caller, so that its outcome is known; a stream without listener ends. */
     private fun callerGone() {
         isCallerGone = true
-        if (isOver || (facts.route.repetition == Repetition.ONCE_ONLY && placed != null)) return
+        val isKept = facts.route.repetition == Repetition.ONCE_ONLY && !passed.wantsStream && placed != null
+        if (isOver || isKept) return
         isAbandoned = true
         call?.cancel()
         placed = null
@@ -338,6 +331,7 @@
     private fun end(outcome: Outcome) {
         if (isOver) return
         isOver = true
+        cancelTimer()
         outlets.ended(this, outcome, firstToken)
     }
 
@@ -356,8 +350,11 @@
         outlets.record(kind, subject, detail)
     }
 
-    private fun AnswerHead.returnedHeaders() =
-        (headers.filter { it.name !in NEVER_RETURNED } + Header("x-request-id", facts.id.text)).toImmutableList()
+    private fun AnswerHead.worded(outcome: Outcome?) = AnswerHead(status, passed.dialect.wordAnswer(this, facts.id, outcome))
+
+    private fun describeFacts(): String =
+        "route ${facts.route.name}, service ${facts.service}, rank ${facts.rank}, " +
+            "${facts.promptTokens} + ${facts.answerTokens} tokens, ${(facts.deadline - facts.arrived).inWholeMilliseconds} ms left"
 }
 
 private const val SERVER_ERRORS = 500
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/OwnDialects.kt
@@ -0,0 +1,91 @@
+/**
+ * The wording of the own interface: bearer keys, errors in JSON, and headers for priority, weights and salt.
+ */
+package sniperoute.request.run.codec
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+import sniperoute.connection.http.AnswerHead
+import sniperoute.connection.http.Header
+import sniperoute.connection.http.codec.OUTCOME_HEADER
+import sniperoute.connection.http.codec.WholeAnswer
+import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.request.admission.decision.Outcome
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.request.run.message.Dialect
+import sniperoute.request.run.message.OutgoingRequest
+import sniperoute.version.message.Repetition
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val NEVER_PASSED = setOf(
+    "authorization",
+    "x-api-key",
+    "proxy-authorization",
+    "cookie",
+    "host",
+    "connection",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "x-request-id",
+    "last-event-id",
+)
+
+private val NEVER_RETURNED = setOf("connection", "keep-alive", "transfer-encoding", "content-length", "x-request-id", "trailer", "upgrade")
+
+private val SHORTEST_WAIT = 10.milliseconds
+
+/** Returns the wording of the own interface. */
+public fun ownDialect(): Dialect = Dialect(
+    wordRequest = ::requestHeaders,
+    wordAnswer = ::answerHeaders,
+    wordRefusal = ::refusalAnswer,
+    readSigns = { null },
+    silencePatience = ::silencePatience,
+    outerId = { _, id -> id.text },
+)
+
+private fun requestHeaders(request: OutgoingRequest): ImmutableList<Header> = buildList {
+    val weights = request.dispatch.weights
+    addAll(request.head.headers.filter { it.name !in NEVER_PASSED })
+    add(Header("x-priority", request.facts.requestClass.text))
+    if (weights != null) {
+        add(Header("x-weights-version", weights.text))
+        add(Header("x-cache-salt", request.cacheSalt.toString()))
+    }
+    request.lastEventId?.let { add(Header("last-event-id", it)) }
+}.toImmutableList()
+
+private fun answerHeaders(head: AnswerHead, id: RequestId, outcome: Outcome?): ImmutableList<Header> {
+    val passed = head.headers.filter { it.name !in NEVER_RETURNED } + Header("x-request-id", id.text)
+    return (if (outcome == null) passed else passed + Header(OUTCOME_HEADER, outcome.text)).toImmutableList()
+}
+
+private fun refusalAnswer(refusal: Refusal, id: RequestId): WholeAnswer {
+    val more = listOfNotNull(
+        refusal.retryAfter?.let { Header("retry-after", it.inWholeSeconds.coerceAtLeast(1).toString()) },
+        Header("x-request-id", id.text),
+    )
+    return errorAnswer(refusal.kind.status, refusal.kind.text, refusal.message, refusal.outcome.text, more.toImmutableList())
+}
+
+/**
+ * A streamed answer must go on within the route's gap. A whole one may take until the deadline; if it may be repeated, half
+ * of the time left, so that there is time for another attempt.
+ */
+private fun silencePatience(facts: RequestFacts, wantsStream: Boolean, left: Duration): Duration {
+    val gap = facts.route.gapMilliseconds.milliseconds
+    val wait = left.coerceAtLeast(SHORTEST_WAIT)
+    return when {
+        wantsStream -> gap
+        facts.route.repetition == Repetition.REPEATABLE -> maxOf(gap, wait / 2)
+        else -> wait
+    }
+}
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -1,6 +1,6 @@
 /**
  * The assembly of one answer from one or more attempts: what came in order is passed on, a broken stream goes on where it
- * broke, and only what carries the end marker is complete.
+ * broke, and only what has a true end is complete.
  */
 package sniperoute.request.run.decision
 
@@ -8,30 +8,29 @@
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.connection.endpoint.decision.EventStreamState
 import sniperoute.connection.endpoint.decision.ServerSentEvent
+import sniperoute.connection.endpoint.decision.hasPartialEvent
 import sniperoute.connection.endpoint.decision.newEventStream
 import sniperoute.connection.endpoint.decision.take
 import sniperoute.connection.endpoint.message.*
 import sniperoute.connection.http.AnswerHead
-import sniperoute.connection.http.HttpStatus
-import sniperoute.connection.http.valueOrNull
 import sniperoute.request.routing.message.Reach
-import sniperoute.request.run.codec.Usage
-import sniperoute.request.run.codec.inspectJson
-import sniperoute.version.message.ServiceKind
+import sniperoute.request.run.message.*
 
 /** The most bytes of an answer that is not streamed. */
 private const val LONGEST_WHOLE_ANSWER = 16 * 1024 * 1024
-private const val END_MARKER = "[DONE]"
-private const val SERVER_ERRORS = 500
 
-/** What of an answer is known so far. [delivered] events were passed to the caller; [isResumable] while all had numbers. */
+/**
+ * What of an answer is known so far. [delivered] events were passed to the caller, the last one with [lastId]; it [isResumable]
+ * while all had one.
+ */
 public data class Assembly(
-    public val kind: ServiceKind,
-    public val wantsStream: Boolean,
+    public val rules: AnswerRules,
     public val delivered: Long,
+    public val lastId: String?,
     public val isResumable: Boolean,
     public val head: AnswerHead?,
     public val isStream: Boolean,
+    public val isFault: Boolean,
     public val stream: EventStreamState,
     public val content: PersistentList<ByteArray>,
     public val contentBytes: Long,
@@ -41,13 +40,14 @@
 )
 
 /** Returns the assembly of an answer of which nothing came yet. */
-public fun newAssembly(kind: ServiceKind, wantsStream: Boolean): Assembly = Assembly(
-    kind = kind,
-    wantsStream = wantsStream,
+public fun newAssembly(rules: AnswerRules): Assembly = Assembly(
+    rules = rules,
     delivered = 0,
+    lastId = null,
     isResumable = true,
     head = null,
     isStream = false,
+    isFault = false,
     stream = newEventStream(),
     content = persistentListOf(),
     contentBytes = 0,
@@ -60,6 +60,7 @@
 public fun Assembly.nextAttempt(): Assembly = copy(
     head = null,
     isStream = false,
+    isFault = false,
     stream = newEventStream(),
     content = persistentListOf(),
     contentBytes = 0,
@@ -83,14 +84,19 @@
 /** Send the caller a whole answer. */
 public class CompleteWhole(public val head: AnswerHead, public val content: ByteArray) : AssemblyAction
 
-/** The attempt failed. */
-public data class FailAttempt(public val reach: Reach, public val mayRepeat: Boolean, public val reason: String) : AssemblyAction
+/** The attempt failed; [answer] is what the endpoint said of it, if that is for the caller when nothing better comes. */
+public data class FailAttempt(
+    public val reach: Reach,
+    public val mayRepeat: Boolean,
+    public val reason: String,
+    public val answer: CompleteWhole? = null,
+) : AssemblyAction
 
 /** An assembly and what to do, in order. */
 public data class AssemblyStep(public val assembly: Assembly, public val actions: PersistentList<AssemblyAction> = persistentListOf())
 
-private fun Assembly.fail(reach: Reach, reason: String): AssemblyStep =
-    AssemblyStep(this, persistentListOf(FailAttempt(reach, delivered == 0L || isResumable, reason)))
+private fun Assembly.fail(reach: Reach, reason: String, answer: CompleteWhole? = null): AssemblyStep =
+    AssemblyStep(this, persistentListOf(FailAttempt(reach, delivered == 0L || isResumable, reason, answer)))
 
 /** Returns the assembly after [event] of the present attempt. */
 public fun Assembly.take(event: CallEvent): AssemblyStep = when (event) {
@@ -107,23 +113,18 @@
     CallFailure.CROSSED, CallFailure.MALFORMED -> Reach.WRONG
 }
 
-private fun Assembly.onHead(answered: AnswerHead): AssemblyStep {
-    val isEventStream = answered.headers
-        .valueOrNull("content-type")
-        .orEmpty()
-        .startsWith("text/event-stream")
-    val isModel = kind == ServiceKind.MODEL
-    return when {
-        isModel && answered.status in REJECTIONS -> fail(Reach.REJECTED, "the endpoint did not take the request: ${answered.status}")
-        isModel && answered.status >= SERVER_ERRORS -> fail(Reach.WRONG, "the endpoint answered ${answered.status}")
-        delivered > 0 && !isEventStream -> fail(Reach.WRONG, "the endpoint did not resume the stream")
-        wantsStream && isEventStream && answered.status == HttpStatus.OK -> onStreamHead(answered)
-        else -> AssemblyStep(copy(head = answered))
-    }
+private fun Assembly.onHead(answered: AnswerHead): AssemblyStep = when (val reading = rules.readHead(answered)) {
+    is NotTaken -> fail(if (reading.isElsewhere) Reach.ELSEWHERE else Reach.REJECTED, reading.reason)
+    is NotAnAnswer -> fail(Reach.WRONG, reading.reason)
+    is StreamBegins -> onStreamHead(answered)
+    is WholeBegins, is FaultBegins ->
+        if (delivered > 0) {
+            fail(Reach.WRONG, "the endpoint did not resume the stream: ${answered.status}")
+        } else {
+            AssemblyStep(copy(head = answered, isFault = reading is FaultBegins))
+        }
 }
 
-private val REJECTIONS = setOf(HttpStatus.CONFLICT, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.UNAVAILABLE)
-
 private fun Assembly.onStreamHead(answered: AnswerHead): AssemblyStep {
     val next = copy(head = answered, isStream = true, hasStarted = true)
     return AssemblyStep(next, if (hasStarted) persistentListOf() else persistentListOf(BeginAnswer(answered)))
@@ -145,25 +146,26 @@
 
 private fun Assembly.onEvent(event: ServerSentEvent): AssemblyStep {
     if (isDone) return fail(Reach.WRONG, "the stream goes on after its end")
-    if (event.data == END_MARKER) return AssemblyStep(copy(isDone = true), persistentListOf(PassOn(event.bytes)))
-    val number = event.id?.toLongOrNull()
-    val finding = inspectJson(event.data)
-    return when {
-        !finding.isObject -> fail(Reach.WRONG, "an event of the stream holds no JSON object")
-        event.id != null && number != delivered + 1 -> fail(Reach.WRONG, "event ${event.id} came in place of ${delivered + 1}")
-        event.id == null && delivered > 0 && isResumable -> fail(Reach.WRONG, "an event without number follows numbered ones")
-        else -> pass(event, finding.usage)
+    if (event.isComment) return AssemblyStep(this, persistentListOf(PassOn(event.bytes)))
+    return when (val reading = rules.readEvent(event, lastId, delivered)) {
+        is EndMark -> AssemblyStep(copy(isDone = true), persistentListOf(PassOn(event.bytes)))
+        is BadPiece -> fail(Reach.WRONG, reading.reason)
+        is Piece -> pass(event, reading)
     }
 }
 
-private fun Assembly.pass(event: ServerSentEvent, found: Usage?): AssemblyStep {
-    val next = copy(delivered = delivered + 1, isResumable = event.id != null, usage = found ?: usage)
+private fun Assembly.pass(event: ServerSentEvent, piece: Piece): AssemblyStep {
+    val next = copy(delivered = delivered + 1, lastId = piece.id, isResumable = piece.id != null, usage = piece.usage ?: usage)
     val first = if (delivered == 0L) persistentListOf<AssemblyAction>(NoteFirst) else persistentListOf()
     return AssemblyStep(next, first.add(PassOn(event.bytes)))
 }
 
-private fun Assembly.onStreamEnd(): AssemblyStep =
-    if (isDone) AssemblyStep(this, persistentListOf(CompleteStream)) else fail(Reach.BROKEN, "the stream ended without its end marker")
+private fun Assembly.onStreamEnd(): AssemblyStep = when {
+    isDone -> AssemblyStep(this, persistentListOf(CompleteStream))
+    rules.endsWithMark -> fail(Reach.BROKEN, "the stream ended without its end marker")
+    stream.hasPartialEvent -> fail(Reach.BROKEN, "the stream ended within an event")
+    else -> AssemblyStep(copy(isDone = true), persistentListOf(CompleteStream))
+}
 
 private fun Assembly.onWholeContent(bytes: ByteArray): AssemblyStep {
     val total = contentBytes + bytes.size
@@ -174,9 +176,10 @@
 
 private fun Assembly.onWholeEnd(): AssemblyStep {
     val answered = head ?: return fail(Reach.WRONG, "the answer has no head")
-    val whole = content.fold(ByteArray(0)) { all, part -> all + part }
-    val isAnswer = kind == ServiceKind.MODEL && answered.status == HttpStatus.OK
-    val finding = if (isAnswer) inspectJson(whole.decodeToString()) else null
-    if (finding != null && !finding.isObject) return fail(Reach.WRONG, "the answer is not a JSON object")
-    return AssemblyStep(copy(isDone = true, usage = finding?.usage), persistentListOf(CompleteWhole(answered, whole)))
+    val answer = CompleteWhole(answered, content.fold(ByteArray(0)) { all, part -> all + part })
+    if (isFault) return fail(Reach.FAULTED, "the endpoint answered ${answered.status}", answer)
+    return when (val reading = rules.readWhole(answered, answer.content)) {
+        is BadWhole -> fail(Reach.WRONG, reading.reason)
+        is GoodWhole -> AssemblyStep(copy(isDone = true, usage = reading.usage), persistentListOf(answer))
+    }
 }
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -14,7 +14,8 @@
 import sniperoute.connection.http.Header
 import sniperoute.request.prefix.codec.readPrompt
 import sniperoute.request.routing.message.Reach
-import sniperoute.request.run.codec.Usage
+import sniperoute.request.run.codec.jsonAnswerRules
+import sniperoute.request.run.message.Usage
 import sniperoute.request.run.codec.inspectJson
 import sniperoute.request.run.decision.*
 import sniperoute.version.message.ServiceKind
@@ -39,7 +40,7 @@
 
     private fun content(text: String) = ContentCame(text.toByteArray())
 
-    private fun streamed() = newAssembly(ServiceKind.MODEL, wantsStream = true)
+    private fun streamed() = newAssembly(jsonAnswerRules(ServiceKind.MODEL, wantsStream = true))
 
     @Test
     fun `however often a stream breaks, the caller gets every event once and in order, and only a whole one is complete`() {
@@ -98,7 +99,7 @@
 
     @Test
     fun `a whole answer that is not JSON, or ends early, is not passed on`() {
-        val whole = newAssembly(ServiceKind.MODEL, wantsStream = false)
+        val whole = newAssembly(jsonAnswerRules(ServiceKind.MODEL, wantsStream = false))
         val head = AnswerBegan(AnswerHead(200))
         expectThat(whole.play(head, content("{\"a\":1"), Ended).second.last()).isA<FailAttempt>()
         expectThat(whole.play(head, content("{\"a\":1}"), Failed(CallFailure.BROKEN, "x")).second.last()).isA<FailAttempt>()
--- a/version/src/main/kotlin/sniperoute/version/codec/DeclarationFiles.kt
+++ b/version/src/main/kotlin/sniperoute/version/codec/DeclarationFiles.kt
@@ -91,7 +91,7 @@
 )
 
 private fun ObjectReader.service(): Service {
-    val kind = choice("kind", ServiceKind.entries) { it.text }
+    val kind = choice("kind", listOf(ServiceKind.MODEL, ServiceKind.PLAIN)) { it.text }
     return Service(
         name = ServiceName(text("name", form = NAME_FORM)),
         kind = kind,
--- a/version/src/main/kotlin/sniperoute/version/codec/Digests.kt
+++ b/version/src/main/kotlin/sniperoute/version/codec/Digests.kt
@@ -7,10 +7,11 @@
 import sniperoute.version.message.Declarations
 import sniperoute.version.message.KeyDigest
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** Returns the SHA-256 of [bytes] in hexadecimal. */
 public fun sha256Hexadecimal(bytes: ByteArray): String =
-    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
 
 /** Returns the digest under which the key [text] is known. */
 public fun keyDigestOf(text: String): KeyDigest = KeyDigest(sha256Hexadecimal(text.toByteArray()))
--- a/version/src/main/kotlin/sniperoute/version/decision/Allowances.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Allowances.kt
@@ -13,6 +13,7 @@
 import sniperoute.process.clock.Moment
 import sniperoute.version.message.Workspace
 import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.isLimited
 
 /** The buckets of all workspaces and the fleet time in microseconds. */
 public data class Allowances(
@@ -47,7 +48,7 @@
  * before keeps its level, so that declaring it again gives nothing.
  */
 public fun Allowances.limit(workspaces: List<Workspace>): Allowances =
-    copy(buckets = workspaces.fold(buckets) { all, workspace -> all.put(workspace.name, limited(workspace)) })
+    copy(buckets = workspaces.filter { it.isLimited }.fold(buckets) { all, workspace -> all.put(workspace.name, limited(workspace)) })
 
 private fun Allowances.limited(workspace: Workspace): Bucket {
     val burst = workspace.burstTokens * MICROTOKENS_PER_TOKEN
