Start from a class archive, load weights on half of the endpoints at once, and always name the store

A planned stop ended with status 1 when the desk still asked endpoints after its threads were gone. Ruled out: slow reads of reports (0.2 s apart). The test of event streams now asks for every byte, comments included; those of routing name reaches that may have run instead of relying on their order.

--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -210,15 +210,20 @@
             checkAll(Arb.list(Arb.int(1..9), 1..40)) { sizes ->
                 var state = newEventStream()
                 val seen = mutableListOf<String>()
+                var bytes = ByteArray(0)
                 var rest = stream.toByteArray()
                 sizes.forEach { size ->
                     val step = state.take(rest.copyOf(minOf(size, rest.size)))
                     rest = rest.copyOfRange(minOf(size, rest.size), rest.size)
                     state = step.state
-                    seen += step.events.map { "${it.id}=${it.data}" }
+                    seen += step.events.map { if (it.isComment) "comment" else "${it.id}=${it.data}" }
+                    bytes = step.events.fold(bytes) { all, event -> all + event.bytes }
                 }
-                seen += state.take(rest).events.map { "${it.id}=${it.data}" }
-                expectThat(seen).containsExactly("1=a", "2=b", "null=[DONE]")
+                val last = state.take(rest).events
+                seen += last.map { if (it.isComment) "comment" else "${it.id}=${it.data}" }
+                bytes = last.fold(bytes) { all, event -> all + event.bytes }
+                expectThat(seen).containsExactly("1=a", "comment", "2=b", "null=[DONE]")
+                expectThat(bytes.decodeToString()).isEqualTo(stream)
             }
         }
     }
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.control
 
+import kotlin.time.Duration.Companion.milliseconds
 import sniperoute.control.decision.AgreementStatus
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.common.GroupDiscovery
@@ -50,6 +51,7 @@
 private const val DESK_RING = 8_192
 private const val RETRY_PAUSE_MILLISECONDS = 200L
 private const val HANDOVER_MILLISECONDS = 300L
+private val DUTY_PATIENCE = 200.milliseconds
 
 /** What operators' pages are made of. */
 public class OperatorOffice internal constructor(
@@ -162,14 +164,16 @@
         links.linkTo(others(recovered.log.membership.everyone.map { it.vm } + parts.discovery.seeds()))
         val server = serveOperators(desk)
         recorder.record(EventKind.PROCESS_READY, detail = "operators on port ${server.port}")
-        awaitStop { stop(server) }
+        awaitStop { stop(server, desk) }
     }
 
-    private fun stop(server: HttpServer) {
+    /** Duties end before the threads that carry out what they order. */
+    private fun stop(server: HttpServer, desk: DeskDuty) {
         recorder.record(EventKind.PROCESS_STOPPING)
         agreementRing.put(HandOver)
         Thread.sleep(HANDOVER_MILLISECONDS)
         server.stopListening()
+        desk.duty?.stop(DUTY_PATIENCE)
         network.close()
         httpThreads.close()
     }
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control
 
+import sniperoute.process.duty.Duty
 import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.endpoint.collecting
 import sniperoute.version.decision.ReadEndpoint
@@ -54,6 +55,7 @@
     public val published: AtomicReference<DeskState>,
 ) {
     private val waiting = ConcurrentHashMap<OperatorWait, OnCommandResult>()
+    internal var duty: Duty? = null
     private val lastWait = AtomicLong()
 
     /** Hands [command] on; [onResult] is told once, unless the process is too busy to take it, which `false` says. */
@@ -85,7 +87,7 @@
 ): DeskDuty {
     val duty = DeskDuty(inbox, status, AtomicReference(initial))
     val outlets = DeskOutlets(duty, inbox, agreement, links, endpoints, recorder)
-    startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
+    duty.duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
         val step = state.step(status.get(), now, input)
         duty.published.set(step.state)
         step.orders.forEach(outlets::carryOut)
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.router
 
+import sniperoute.process.duty.Duty
 import kotlin.time.Duration
 import sniperoute.version.decision.Catalogue
 import sniperoute.router.decision.SessionSettings
@@ -79,6 +80,7 @@
 /** How long a stopping router goes on taking requests while the balancer learns that it is not ready. */
 private val BALANCER_LAG = 2_300.milliseconds
 private val DRAIN_CHECK = 20.milliseconds
+private val DUTY_PATIENCE = 200.milliseconds
 
 /** Returns the identity of a request, of which [number] others came before to this process. */
 public typealias IdentifyRequest = (head: RequestHead, number: Long) -> RequestId
@@ -189,6 +191,7 @@
         ended = ::ended,
     )
     private lateinit var onCatalogue: OnCatalogue
+    private lateinit var sessionDuty: Duty
 
     fun run() {
         session.view.set(ServingView(emptyCatalogue(), Moment.EARLIEST))
@@ -214,7 +217,7 @@
         val routing = RoutingOutlets(runs, sessionRing, { session.askLedger(it, true) {} }, routingState)
         startRoutingDuty(routingRing, parts.placement, routingState.get(), routing, clock, onFailure)
         val initial = newControlSession(parts.discovery.seeds().toPersistentList(), clock(), parts.session)
-        startSessionDuty(sessionRing, initial, session, clock, onFailure)
+        sessionDuty = startSessionDuty(sessionRing, initial, session, clock, onFailure)
     }
 
     private fun onView(view: ServingView) {
@@ -271,7 +274,7 @@
         else -> null
     }
 
-    /** Unready first, then no new connections, then out once every request has its answer. */
+    /** Unready first, then no new connections, then out once every request has its answer; the session ends before its threads. */
     private fun stop(callers: HttpServer) {
         isStopping.set(true)
         recorder.record(EventKind.PROCESS_STOPPING, detail = "${runs.size} requests under way")
@@ -279,6 +282,7 @@
         callers.stopListening()
         val patience = clock() + parts.drain
         while (runs.isNotEmpty() && clock() < patience) Thread.sleep(DRAIN_CHECK.inWholeMilliseconds)
+        sessionDuty.stop(DUTY_PATIENCE)
         network.close()
         threads.close()
     }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -208,7 +208,7 @@
                 weights = target.weights,
                 attempt = attempt,
                 isFresh = attempt > 1,
-                importFrom = transfer.store?.takeIf { transfer.isImported },
+                importFrom = transfer.store,
                 storeTo = transfer.store?.takeIf { transfer.isStored },
                 grounds = grounds(facts, target, endpoint, now),
             ),
@@ -223,26 +223,25 @@
 }
 
 /** What a request has to do with the [store] of cached parts. */
-private data class Transfer(val store: StorePlace?, val name: EndpointName?, val isImported: Boolean, val isStored: Boolean)
+private data class Transfer(val store: StorePlace?, val name: EndpointName?, val isStored: Boolean)
 
 /** Shared parts shorter than this are computed sooner than fetched. */
-private const val SHORTEST_TRANSFER_TOKENS = 512L
+private const val SHORTEST_TRANSFER_TOKENS = 64L
 
 /**
- * Parts that an endpoint lacks may come from the store, and what the store is not known to hold goes there. The last part of a
- * prompt is the request's own.
+ * Parts that an endpoint lacks may come from the store: it knows itself what it lacks, so it is always told where they are. What
+ * the store is not known to hold goes there. The last part of a prompt is the request's own.
  */
 private fun RoutingState.transfer(facts: RequestFacts, target: Target, now: Moment): Transfer {
     val service = view.catalogue.services.values.firstOrNull { it.store != null }
     val weights = target.weights
     val shared = facts.tokensOf(facts.chain.size - 1)
-    val none = Transfer(null, null, isImported = false, isStored = false)
+    val none = Transfer(null, null, isStored = false)
     if (service == null || weights == null || shared < SHORTEST_TRANSFER_TOKENS) return none
     val name = EndpointName(service.name.text)
     val links = facts.chain.dropLast(1)
     val stored = facts.tokensOf(knowledge.heldAt(name, links, weights, now))
-    val missing = target.placement.missedTokens - (facts.promptTokens - shared)
-    return Transfer(service.store, name, missing >= SHORTEST_TRANSFER_TOKENS, shared - stored >= SHORTEST_TRANSFER_TOKENS)
+    return Transfer(service.store, name, isStored = shared > stored)
 }
 
 /** What a request computes will be cached where it runs; the engine's events and counts correct this. */
@@ -312,12 +311,18 @@
         facts.key != null && facts.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
         now < (retries[facts.id]?.until ?: facts.queueUntil) -> null
         workspace != null && !hasTokens(facts) ->
-            Refusal(RefusalKind.OVER_RATE, "workspace $workspace is over its rate", retryAfter = retryAfter(facts))
+            Refusal(RefusalKind.OVER_RATE, overRate(workspace, facts, now), retryAfter = retryAfter(facts))
         facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, "no endpoint was free in time", retryAfter = retryAfter(facts))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint was free within the route's deadline")
     }
 }
 
+private fun RoutingState.overRate(workspace: WorkspaceName, facts: RequestFacts, now: Moment): String {
+    val pool = tokens.poolOf(workspace)
+    return "workspace $workspace is over its rate: ${facts.tokens} tokens wanted, ${pool.available} here, ${pool.asked} asked for " +
+        "${(now - pool.askedAt).inWholeMilliseconds} ms ago"
+}
+
 /** A request may come again after about as long as it was held here. */
 private fun retryAfter(facts: RequestFacts): Duration = facts.queueUntil - facts.arrived
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -6,7 +6,6 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.process.clock.Moment
 import sniperoute.request.prefix.decision.rendezvousWeight
 import sniperoute.request.routing.message.RequestFacts
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -15,9 +15,9 @@
 import sniperoute.request.routing.message.RequestId
 import sniperoute.request.routing.message.RoutingOrder
 import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.noEvidenceTable
-import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.unknownFleet
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.ModelName
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -14,6 +14,7 @@
 import sniperoute.version.message.Route
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.urgency
 
 /** The identity of one request at one router. */
 @JvmInline
@@ -43,7 +44,7 @@
     public val model: ModelName? = null,
     public val partTokens: PersistentList<Long> = persistentListOf(),
     public val subject: Long = chain.firstOrNull() ?: hash,
-    public val rank: Int = route.rank,
+    public val rank: Int = route.urgency,
     public val queueUntil: Moment = deadline,
     public val charge: Long = promptTokens + answerTokens,
 ) {
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -14,10 +14,10 @@
 import sniperoute.connection.http.Header
 import sniperoute.request.prefix.codec.readPrompt
 import sniperoute.request.routing.message.Reach
-import sniperoute.request.run.codec.jsonAnswerRules
-import sniperoute.request.run.message.Usage
 import sniperoute.request.run.codec.inspectJson
+import sniperoute.request.run.codec.jsonAnswerRules
 import sniperoute.request.run.decision.*
+import sniperoute.request.run.message.Usage
 import sniperoute.version.message.ServiceKind
 import strikt.api.expectThat
 import strikt.assertions.contains
--- a/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
@@ -132,7 +132,7 @@
                             sent.merge(id, 1, Int::plus)
                             router.end(
                                 id,
-                                Unanswered(Reach.entries.filter { it > Reach.REJECTED }.random(random), random.nextBoolean(), "x"),
+                                Unanswered(Reach.entries.filter { !it.isNotRun }.random(random), random.nextBoolean(), "x"),
                             )
                         }
                         3 -> running.randomOrNull(random)?.let { router.end(it, Unanswered(Reach.NOT_RUN, true, "x")) }
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -36,13 +36,12 @@
 /** An endpoint that refused an order since another holder gave a newer one gets none from this leader any more. */
 private val FENCED_REST: Duration = 1.hours
 
-/** Loads at once that don't slow each other, as parts of a service's endpoints; the platform's sheets give 2 of 8 to 28 of 98. */
-private const val LOADING_PARTS = 2
-private const val LOADING_WHOLE = 7
-private const val FEWEST_LOADING = 2
-
-/** Endpoints that may finish their runs while others load, beside those that load. */
-private const val FINISHING_AHEAD = 1
+/**
+ * The part of a service's endpoints that may have an open order: most of that time they finish their runs, so few load at once,
+ * and the others carry the traffic meanwhile.
+ */
+private const val OPEN_PART = 2
+private const val FEWEST_OPEN = 2
 
 /** How far an order is: from [planned] on routers leave the endpoint alone. */
 public data class LoadOrder(
@@ -200,7 +199,7 @@
         }
 }
 
-private fun mostOpen(size: Int): Int = maxOf(FEWEST_LOADING, size * LOADING_PARTS / LOADING_WHOLE) + FINISHING_AHEAD
+private fun mostOpen(size: Int): Int = maxOf(FEWEST_OPEN, size / OPEN_PART).coerceAtMost(maxOf(1, size - 1))
 
 private fun EndpointLoad.lacksOrNull(wanted: List<ModelWeights>): ModelWeights? =
     wanted.firstOrNull { (weights[it.model] ?: 0) < it.number }
--- a/version/src/main/kotlin/sniperoute/version/message/Declarations.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/Declarations.kt
@@ -87,7 +87,7 @@
     public val isOpen: Boolean,
     public val host: String? = null,
     public val shares: ItemList<RouteShare> = persistentListOf(),
-    public val rank: Int = requestClass.ordinal,
+    public val rank: Int? = null,
     public val mostEndpoints: Int = MOST_ENDPOINTS,
     public val objectiveMilliseconds: Long = deadlineMilliseconds,
     public val isStreamed: Boolean = false,
@@ -97,6 +97,9 @@
 /** The most endpoints at which a request runs when its route does not say. */
 public const val MOST_ENDPOINTS: Int = 4
 
+/** How urgent requests of this route are, lower first: as declared, or by their class. */
+public val Route.urgency: Int get() = rank ?: requestClass.ordinal
+
 /** The services that may get requests of this route. */
 public val Route.services: List<ServiceName> get() = if (shares.isEmpty()) listOf(service) else shares.map { it.service }
 
