Let routers share what they have at endpoints and what was computed where

Cause: each router saw an eighth of the load and of the cached parts. Ruled out: reading cache events at every router (64 long polls). Change: routers tell the leader their work and newly computed parts, 50 ms apart at most; it tells all the totals. Nobody known to hold a prompt's shared parts: all take the same home. The endpoints furthest behind load first, a third at once; busy ones count as changing for a new leader too; an endpoint that turns requests away rests longer each time.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -204,6 +204,7 @@
             known
                 .lead { copy(returns = returns.add(TokenAmount(message.workspace, message.tokens))) }
                 .proposeTokens(now, isDue = false)
+        is WorkNote -> known.lead { copy(works = works.noted(input.router, message)) }.unchanged()
         else -> known.unchanged()
     }
 }
@@ -267,6 +268,7 @@
         .then { it.reportInForce(now) }
         .then { it.tendMoves(now) }
         .then { it.tendFleet(now) }
+        .then { it.tellWork(now) }
 }
 
 private fun DeskState.noteEvents(command: Command, outcome: Applied): DeskStep {
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.control.decision
 
+import sniperoute.version.decision.noFleetWorks
+import sniperoute.version.decision.FleetWorks
 import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.decision.WeightLoads
 import sniperoute.version.decision.FleetView
@@ -90,6 +92,7 @@
     public val fleet: FleetView? = null,
     public val loads: WeightLoads = noWeightLoads(ordersFrom),
     public val nextList: Moment = Moment.EARLIEST,
+    public val works: FleetWorks = noFleetWorks(),
 )
 
 /** Whether listed services are to be tended, and how long a new leader waits for orders of an earlier one to be over. */
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -60,13 +60,25 @@
     val known = leadership ?: return unchanged()
     val before = known.fleet ?: return unchanged()
     val endpoints = known.loads.endpoints.values.fold(persistentMapOf<EndpointName, FleetEndpoint>()) { all, load ->
-        all.put(load.listed.endpoint.name, FleetEndpoint(load.listed, load.weights, isChanging = load.open != null))
+        all.put(load.listed.endpoint.name, FleetEndpoint(load.listed, load.weights, isChanging = load.open != null || load.isBusy))
     }
     val after = before.next(endpoints)
     if (after === before) return unchanged()
     return lead { copy(fleet = after) }.unchanged().order(NotifyRouters(known.links.keys.toPersistentList(), after.noticeSince(before)))
 }
 
+/** Tells routers what all of them have at endpoints. */
+internal fun DeskState.tellWork(now: Moment): DeskStep {
+    val known = leadership ?: return unchanged()
+    val live = known.leases.routers
+        .filterValues { it.until > now }
+        .keys
+    val step = known.works.keepOnly(live).tell(now)
+    val next = lead { copy(works = step.works) }
+    val message = step.message ?: return next.unchanged()
+    return next.unchanged().order(NotifyRouters(known.links.keys.toPersistentList(), message))
+}
+
 /** Sends the whole view to a router that has another one. */
 internal fun DeskState.sendFleet(to: ReplyAddress, known: Long): DeskStep {
     val fleet = leadership?.fleet ?: return unchanged()
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.router
 
+import sniperoute.request.routing.message.TellWork
 import sniperoute.process.clock.Clock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
@@ -18,7 +19,7 @@
 import sniperoute.request.run.RequestRun
 import sniperoute.router.message.EvidenceChanged
 import sniperoute.router.message.SessionInput
-import sniperoute.router.message.TokensWanted
+import sniperoute.router.message.RoutingSaid
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.isRunning
 import sniperoute.version.decision.toReport
@@ -71,8 +72,9 @@
         is Dispatch -> tell(order.id, order)
         is Refuse -> tell(order.id, order)
         is GiveUp -> tell(order.id, order)
-        is AskTokens -> session.offer(TokensWanted(TokenRequest(order.workspace, order.tokens)))
-        is GiveBackTokens -> session.offer(TokensWanted(TokenReturn(order.workspace, order.tokens)))
+        is AskTokens -> session.offer(RoutingSaid(TokenRequest(order.workspace, order.tokens)))
+        is GiveBackTokens -> session.offer(RoutingSaid(TokenReturn(order.workspace, order.tokens)))
+        is TellWork -> session.offer(RoutingSaid(order.note))
         is ReportDeath -> askLedger(DeathNotice(order.endpoint, order.incarnation, order.digests))
     }
 }
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.router
 
+import sniperoute.request.routing.message.FleetWorked
 import sniperoute.request.routing.message.RoutersCounted
 import sniperoute.request.routing.message.FleetChanged
 import sniperoute.common.ListEndpoints
@@ -122,6 +123,7 @@
             is HandTokens -> routing.put(order.grant)
             is AnswerLedger -> waiting.remove(order.wait)?.invoke(order.reply)
             is ServeFleet -> routing.put(FleetChanged(order.fleet))
+            is HandWork -> routing.offer(FleetWorked(order.message))
             is ShareAllowances -> routing.put(RoutersCounted(order.routers))
             is KeepLinks -> linkTo(order.replicas)
             is SeekReplicas -> alsoLinkTo(network.seeds())
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -114,7 +114,7 @@
     is LinkClosed -> copy(linked = linked.remove(input.replica)).turnFrom(input.replica, null, now)
     is SessionSaid -> onSession(input, now)
     is LedgerSaid -> onLedger(input, now)
-    is TokensWanted -> unchanged().order(SendSession(target, 0, input.message))
+    is RoutingSaid -> unchanged().order(SendSession(target, 0, input.message))
     is LedgerAsked -> onAsked(input, now)
     is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
     is ListRead -> onListRead(input)
@@ -207,6 +207,7 @@
 private fun ControlSession.onSession(input: SessionSaid, now: Moment): SessionStep = when (val message = input.message) {
     is RenewReply -> onRenewed(input, message, now)
     is FleetNotice -> onFleetNotice(message, now)
+    is FleetWork -> unchanged().order(HandWork(message))
     is NotLeader ->
         alsoKnowing(message.members)
             .then { it.turnFrom(input.replica, message.leader, now) }
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.router.message
 
+import sniperoute.version.message.FleetWork
 import sniperoute.version.message.ListedEndpoint
 import sniperoute.version.decision.FleetView
 import kotlinx.collections.immutable.ImmutableList
@@ -33,8 +34,8 @@
 /** A control replica answered about the ledger. */
 public data class LedgerSaid(public val replica: VmName, public val correlation: Long, public val reply: LedgerReply) : SessionInput
 
-/** Routing wants tokens, or gives some back. */
-public data class TokensWanted(public val message: SessionMessage) : SessionInput
+/** Routing has something for the leader that needs no answer, or is asked for again: tokens wanted or given back, work. */
+public data class RoutingSaid(public val message: SessionMessage) : SessionInput
 
 /** A request has a question for the ledger. With [isLasting] it is asked until it is answered. */
 public data class LedgerAsked(public val wait: LedgerWait, public val request: LedgerRequest, public val isLasting: Boolean) : SessionInput
@@ -63,6 +64,9 @@
 /** A question to the ledger is answered. */
 public data class AnswerLedger(public val wait: LedgerWait, public val reply: LedgerReply) : SessionOrder
 
+/** All routers' work at endpoints. */
+public data class HandWork(public val message: FleetWork) : SessionOrder
+
 /** The listed endpoints changed. */
 public data class ServeFleet(public val fleet: FleetView) : SessionOrder
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.version.message.HeldParts
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import sniperoute.process.clock.Moment
@@ -56,7 +58,7 @@
 /** After this long a request takes any free slot, wherever its prompt may be cached. */
 private val LONGEST_HOLD = 4.seconds
 
-private data class Target(val placement: Placement, val weights: WeightsVersion?, val candidates: Int)
+private data class Target(val placement: Placement, val weights: WeightsVersion?, val candidates: Int, val heldLinks: Int)
 
 private fun RoutingState.hasTokens(facts: RequestFacts): Boolean {
     val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
@@ -67,8 +69,10 @@
     versionsToTry(service, facts).firstNotNullOfOrNull { version ->
         val usable = candidates(service, facts, version, now)
         val candidates = if (now - facts.arrived < LONGEST_HOLD) usable else usable.filter { it.freeSlots(now) > 0 }
-        place(question(service, facts, version, candidates, now), now)?.let { placement ->
-            Target(placement, if (service.isListed) endpoints.getValue(placement.endpoint).weightsFor(facts.model) else version, candidates.size)
+        val question = question(service, facts, version, candidates, now)
+        place(question, now)?.let { placement ->
+            val weights = if (service.isListed) endpoints.getValue(placement.endpoint).weightsFor(facts.model) else version
+            Target(placement, weights, candidates.size, question.heldPieces[placement.endpoint] ?: 0)
         }
     }
 
@@ -248,11 +252,23 @@
 private fun RoutingState.expectCached(facts: RequestFacts, target: Target, transfer: Transfer, now: Moment): RoutingState {
     val weights = target.weights ?: return this
     if (facts.chain.isEmpty()) return this
-    val known = knowledge.learn(target.placement.endpoint, facts.chain.cacheKeys(weights), now)
+    val here = target.placement.endpoint
+    val keys = facts.chain.cacheKeys(weights)
+    val shared = keys.dropLast(1)
     val store = transfer.name?.takeIf { transfer.isStored }
-    return copy(knowledge = if (store == null) known else known.learn(store, facts.chain.dropLast(1).cacheKeys(weights), now))
+    val news = listOfNotNull(
+        HeldParts(here, shared.toPersistentList()).takeIf { target.heldLinks < shared.size },
+        store?.let { HeldParts(it, shared.toPersistentList()) },
+    )
+    val known = knowledge.learn(here, keys, now)
+    return copy(
+        knowledge = if (store == null) known else known.learn(store, shared, now),
+        newlyHeld = if (service(facts)?.isListed == true) newlyHeld.addAll(news) else newlyHeld,
+    )
 }
 
+private fun RoutingState.service(facts: RequestFacts): Service? = view.catalogue.services[facts.service]
+
 internal fun List<Long>.cacheKeys(weights: WeightsVersion): List<Long> =
     map { cacheKey(it, weights) }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -66,6 +66,8 @@
     public val modelWeights: PersistentMap<ModelName, WeightsVersion> = persistentMapOf(),
     public val isChanging: Boolean = false,
     public val faults: Double = 0.0,
+    public val isReportShared: Boolean = false,
+    public val rejections: Int = 0,
 )
 
 /** Returns the weights that a request for [model] meets here, or `null` when they are not known or there are none. */
@@ -87,6 +89,9 @@
 /** Returns the slots that are free, by own work and by what others had there at the last report. */
 public fun EndpointState.freeSlots(now: Moment): Int = endpoint.slots - own.size - othersRunning(now)
 
+/** Whether other routers' work here is known from themselves, not only from answers' heads. */
+public fun EndpointState.hasSharedReport(now: Moment): Boolean = isReportShared && report != null && now - report.at < REPORT_LIFE
+
 private fun EndpointState.othersRunning(now: Moment): Int =
     report?.takeIf { now - it.at < REPORT_LIFE }?.let { (it.running - it.ownRunning).coerceAtLeast(0) } ?: 0
 
@@ -106,7 +111,7 @@
 /** Returns the endpoint after the first token of a request came, [firstToken] after it was sent. */
 public fun EndpointState.answered(id: RequestId, firstToken: Duration): EndpointState {
     val work = own[id] ?: return this
-    val begun = copy(own = own.put(id, work.copy(hasBegun = true)), failures = 0)
+    val begun = copy(own = own.put(id, work.copy(hasBegun = true)), failures = 0, rejections = 0)
     if (work.aheadTokens < SMALLEST_SAMPLE_TOKENS) return begun
     val sample = firstToken / work.aheadTokens.toDouble()
     return begun.copy(tokenCost = tokenCost * (1 - COST_WEIGHT) + sample * COST_WEIGHT)
@@ -118,7 +123,7 @@
 public fun EndpointState.finished(id: RequestId): EndpointState = copy(own = own.remove(id))
 
 /** Returns the endpoint after it did not take a request at [now]: whatever filled it may be over soon. */
-public fun EndpointState.rejected(now: Moment): EndpointState = copy(downUntil = maxOf(downUntil, now + REJECTION_REST))
+public fun EndpointState.rejected(now: Moment): EndpointState = copy(rejections = rejections + 1, downUntil = maxOf(downUntil, now + REJECTION_REST * (1 shl minOf(rejections, MOST_DOUBLINGS))))
 
 private val REJECTION_REST = 100.milliseconds
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -54,8 +54,9 @@
 public fun soonestToken(recomputeWeight: Double): PlaceRequest = { question, now ->
     val subject = question.facts.subject
     val weight = (recomputeWeight / (1 + question.sharing.squaredOver(FEW_SHARING))).coerceAtLeast(1.0)
+    val home = question.assumedHomeOrNull(subject)
     question.candidates
-        .map { candidate -> question.expect(candidate, subject, weight, now) }
+        .map { candidate -> question.expect(candidate, subject, weight, candidate.endpoint.name == home, now) }
         .minWithOrNull(compareBy<Expectation> { it.equalTimes }.thenByDescending { it.weight })
         ?.takeIf { it.hasFreeSlot }
         ?.placement
@@ -69,12 +70,28 @@
 /** How much a token that is computed again counts in the usual policy. */
 public const val USUAL_RECOMPUTE_WEIGHT: Double = 16.0
 
+/**
+ * While nobody is known to hold the shared parts of a prompt, all routers take the same endpoint for the one that does: the first
+ * by rendezvous hashing. So requests that come to different routers at once meet where the first of them computes.
+ */
+private fun PlacementQuestion.assumedHomeOrNull(subject: Long): EndpointName? {
+    if (facts.chain.size < 2 || heldPieces.any { (_, pieces) -> pieces >= facts.chain.size - 1 }) return null
+    return candidates.maxByOrNull { rendezvousWeight(subject, it.endpoint.name.text) }?.endpoint?.name
+}
+
 /** What a candidate promises: the time to the first token in steps of [EQUAL_TIMES], and its [weight] by rendezvous hashing. */
 private class Expectation(val placement: Placement, val equalTimes: Long, val weight: Long, val hasFreeSlot: Boolean)
 
-private fun PlacementQuestion.expect(candidate: EndpointState, subject: Long, recomputeWeight: Double, now: Moment): Expectation {
+private fun PlacementQuestion.expect(
+    candidate: EndpointState,
+    subject: Long,
+    recomputeWeight: Double,
+    isHome: Boolean,
+    now: Moment,
+): Expectation {
     val missed = missedTokens(candidate)
-    val computing = candidate.tokenCost * (candidate.waitingTokens(now) + missed * recomputeWeight)
+    val counted = if (isHome) facts.promptTokens - facts.tokensOf(facts.chain.size - 1) else missed
+    val computing = candidate.tokenCost * (candidate.waitingTokens(now) + counted * recomputeWeight)
     val name = candidate.endpoint.name
     val handicap = handicaps[name] ?: Duration.ZERO
     val steps = ((computing + candidate.batchCost(now) + handicap) / EQUAL_TIMES).toLong()
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -49,6 +49,7 @@
     is AnswerHeadCame -> onHead(input, now).unchanged()
     is FleetChanged -> onFleet(input.fleet, place, now)
     is RoutersCounted -> copy(routers = input.routers).unchanged()
+    is FleetWorked -> onFleetWork(input, now).drainAll(place, now)
 }
 
 private fun RoutingState.onTime(place: PlaceRequest, now: Moment): RoutingStep {
@@ -57,7 +58,7 @@
     } else {
         unchanged()
     }
-    return checked.then { it.drainAll(place, now) }
+    return checked.then { it.drainAll(place, now) }.then { it.tellWork(now) }
 }
 
 private fun PersistentMap<RequestDigest, Moment>.withoutOlder(now: Moment) =
@@ -122,7 +123,7 @@
         val served = if (model == null || weights == null) endpoint.modelWeights else endpoint.modelWeights.put(model, weights)
         val waiting = (signs.waiting ?: 0) * TOKENS_OF_WAITING
         val report = signs.running?.let { LoadReport(now, it + (signs.waiting ?: 0), waiting, endpoint.own.size, endpoint.ownWaitingTokens()) }
-        endpoint.copy(modelWeights = served, report = report ?: endpoint.report)
+        endpoint.copy(modelWeights = served, report = if (endpoint.hasSharedReport(now)) endpoint.report else report ?: endpoint.report)
     }
 }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.request.routing.decision
 
+import sniperoute.version.message.HeldParts
+import sniperoute.version.message.EndpointWork
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -67,6 +69,9 @@
     public val fleet: FleetView = unknownFleet(),
     public val members: PersistentMap<ServiceName, PersistentList<EndpointName>> = persistentMapOf(),
     public val named: PersistentMap<ModelName, NamedWeights> = persistentMapOf(),
+    public val told: PersistentMap<EndpointName, EndpointWork> = persistentMapOf(),
+    public val newlyHeld: PersistentList<HeldParts> = persistentListOf(),
+    public val nextTelling: Moment = Moment.EARLIEST,
 )
 
 /** What routing is given at the start. Requests no longer begin on weights that are older than others named [weightsLimit] ago. */
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.request.routing.message
 
+import sniperoute.version.message.WorkNote
+import sniperoute.version.message.FleetWork
 import kotlinx.collections.immutable.PersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
@@ -51,6 +53,9 @@
 /** The leader's view of the listed endpoints changed, or this router read the platform's list itself. */
 public data class FleetChanged(public val fleet: FleetView) : RoutingInput
 
+/** What all routers together have at endpoints, and parts that one of them had computed. */
+public data class FleetWorked(public val message: FleetWork) : RoutingInput
+
 /** So many routers share the fleet's allowances. */
 public data class RoutersCounted(public val routers: Int) : RoutingInput
 
@@ -150,6 +155,9 @@
 /** Give tokens back to the control replicas. */
 public data class GiveBackTokens(public val workspace: WorkspaceName, public val tokens: Long) : RoutingOrder
 
+/** Tell the other routers, through the leader, what this one has at endpoints. */
+public data class TellWork(public val note: WorkNote) : RoutingOrder
+
 /** Tell the control replicas that [endpoint] died while it worked on [digests]. */
 public data class ReportDeath(
     public val endpoint: EndpointName,
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -40,7 +40,7 @@
  * The part of a service's endpoints that may have an open order: most of that time they finish their runs, so few load at once,
  * and the others carry the traffic meanwhile.
  */
-private const val OPEN_PART = 2
+private const val OPEN_PART = 3
 private const val FEWEST_OPEN = 2
 
 /** How far an order is: from [planned] on routers leave the endpoint alone. */
@@ -52,12 +52,16 @@
     public val taken: Moment? = null,
 )
 
-/** An endpoint as the leader knows it: the [weights] that it serves, the [count] of orders that it has taken, and an open order. */
+/**
+ * An endpoint as the leader knows it: the [weights] that it serves, the [count] of orders that it has taken, the runs that
+ * it had when it was read, and an open order.
+ */
 public data class EndpointLoad(
     public val listed: ListedEndpoint,
     public val weights: PersistentMap<ModelName, Long>,
     public val count: Long? = null,
     public val isBusy: Boolean = false,
+    public val running: Int = 0,
     public val readAt: Moment = Moment.EARLIEST,
     public val open: LoadOrder? = null,
 )
@@ -74,6 +78,7 @@
     public val weights: PersistentMap<ModelName, Long>,
     public val count: Long,
     public val isBusy: Boolean,
+    public val running: Int = 0,
 )
 
 /** What became of an order. */
@@ -138,7 +143,7 @@
     if (report == null || (report.incarnation != null && report.incarnation != known.listed.incarnation)) {
         known.copy(count = null, open = known.open?.takeIf { report == null && now - it.planned < LOAD_PATIENCE })
     } else {
-        known.copy(weights = report.weights, count = report.count, isBusy = report.isBusy).settled().withoutLost(now)
+        known.copy(weights = report.weights, count = report.count, isBusy = report.isBusy, running = report.running).settled().withoutLost(now)
     }
 }
 
@@ -191,7 +196,7 @@
     val room = mostOpen(size) - members.count { it.open != null }
     return members
         .filter { it.open == null && it.count != null && !it.isBusy && !it.listed.isLeaving && it.lacksOrNull(wanted) != null }
-        .sortedBy { it.listed.endpoint.name }
+        .sortedWith(compareBy({ it.oldestOf(wanted) }, { it.running }, { it.listed.endpoint.name }))
         .take(room.coerceAtLeast(0))
         .fold(this) { all, load ->
             val lacking = checkNotNull(load.lacksOrNull(wanted)) { "only endpoints that lack weights are planned" }
@@ -199,7 +204,10 @@
         }
 }
 
-private fun mostOpen(size: Int): Int = maxOf(FEWEST_OPEN, size / OPEN_PART).coerceAtMost(maxOf(1, size - 1))
+private fun mostOpen(size: Int): Int = maxOf(FEWEST_OPEN, (size + OPEN_PART - 1) / OPEN_PART).coerceAtMost(maxOf(1, size - 1))
+
+/** The endpoints that are furthest behind load first: no endpoint may be left behind when names follow each other quickly. */
+private fun EndpointLoad.oldestOf(wanted: List<ModelWeights>): Long = wanted.minOf { (weights[it.model] ?: 0) - it.number }
 
 private fun EndpointLoad.lacksOrNull(wanted: List<ModelWeights>): ModelWeights? =
     wanted.firstOrNull { (weights[it.model] ?: 0) < it.number }
@@ -208,7 +216,7 @@
     val load = loads.endpoints[name] ?: return this
     val open = load.open
     return when {
-        open == null && load.lacksOrNull(wanted) != null && (load.count == null || load.isBusy) -> readIfDue(load, now)
+        open == null && (load.isBusy || load.lacksOrNull(wanted) != null && load.count == null) -> readIfDue(load, now)
         open == null -> this
         open.taken != null -> if (now - open.taken >= SHORTEST_LOAD) readIfDue(load, now) else this
         open.sent == null && now - open.planned >= STEER_LEAD -> order(load, open, now)
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -38,6 +38,22 @@
     public val fleet: Long = 0,
 ) : SessionMessage
 
+/** What routers have at an endpoint: requests in work, and prompt tokens that wait to be computed. */
+@Serializable
+public data class EndpointWork(public val endpoint: EndpointName, public val running: Int, public val waitingTokens: Long)
+
+/** Parts of prompts, by their keys, that an endpoint or a store holds from now on. */
+@Serializable
+public data class HeldParts(public val endpoint: EndpointName, public val keys: ItemList<Long>)
+
+/** Tells the leader what this router has at the endpoints where that changed, and which parts it had computed. */
+@Serializable
+public data class WorkNote(public val work: ItemList<EndpointWork>, public val held: ItemList<HeldParts>) : SessionMessage
+
+/** Tells routers what all of them together have at endpoints, and which parts one of them had computed. */
+@Serializable
+public data class FleetWork(public val work: ItemList<EndpointWork>, public val held: ItemList<HeldParts>) : SessionMessage
+
 /** Tells a router how the fleet changed: from its view [follows], or from nothing when that is 0, to the view [number]. */
 @Serializable
 public data class FleetNotice(
