Judge weights by the first newer name, and hold requests that would queue too long

Change: weights are old from when the first newer ones were named; half of the endpoints may have an open order, now that routers share loads; a request waits here, and is refused in time, when it would queue behind others for more than 0.8 of its objective. Tests: WeightLoadsTest, ListedRoutingTest.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -130,14 +130,14 @@
 }
 
 private fun RoutingState.weightsCost(facts: RequestFacts, candidate: EndpointState, now: Moment): Duration {
-    val newest = named[facts.model ?: return Duration.ZERO] ?: return Duration.ZERO
-    return when {
-        candidate.weightsNumber(facts) >= newest.number -> Duration.ZERO
-        now - newest.seen < WEIGHTS_PATIENCE -> OLDER_WEIGHTS_COST
-        else -> LATE_WEIGHTS_COST
-    }
+    val since = outdatedSinceOrNull(candidate, facts) ?: return Duration.ZERO
+    return if (now - since < WEIGHTS_PATIENCE) OLDER_WEIGHTS_COST else LATE_WEIGHTS_COST
 }
 
+/** Since when the endpoint's weights are not the newest, whatever was named after the first newer ones. */
+private fun RoutingState.outdatedSinceOrNull(endpoint: EndpointState, facts: RequestFacts): Moment? =
+    facts.model?.let { named[it] }?.outdatedSinceOrNull(endpoint.weightsNumber(facts))
+
 private fun EndpointState.weightsNumber(facts: RequestFacts): Long = weightsFor(facts.model)?.text?.toLongOrNull() ?: 0
 
 /**
@@ -174,8 +174,8 @@
 /** Whether the endpoint's weights are so old that no request may begin on them. */
 private fun RoutingState.isOutdated(endpoint: EndpointState, facts: RequestFacts, now: Moment): Boolean {
     val limit = settings.weightsLimit ?: return false
-    val newest = named[facts.model ?: return false] ?: return false
-    return endpoint.weightsNumber(facts) < newest.number && now - newest.seen > limit
+    val since = outdatedSinceOrNull(endpoint, facts) ?: return false
+    return now - since > limit
 }
 
 /** Whether an endpoint serves [version]; one that has said nothing yet is taken to serve what it is assigned. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -58,7 +58,7 @@
     question.candidates
         .map { candidate -> question.expect(candidate, subject, weight, candidate.endpoint.name == home, now) }
         .minWithOrNull(compareBy<Expectation> { it.equalTimes }.thenByDescending { it.weight })
-        ?.takeIf { it.hasFreeSlot }
+        ?.takeIf { it.hasFreeSlot && it.queueing <= question.longestQueue() }
         ?.placement
 }
 
@@ -79,8 +79,22 @@
     return candidates.maxByOrNull { rendezvousWeight(subject, it.endpoint.name.text) }?.endpoint?.name
 }
 
-/** What a candidate promises: the time to the first token in steps of [EQUAL_TIMES], and its [weight] by rendezvous hashing. */
-private class Expectation(val placement: Placement, val equalTimes: Long, val weight: Long, val hasFreeSlot: Boolean)
+/**
+ * What a candidate promises: the time to the first token in steps of [EQUAL_TIMES], its [weight] by rendezvous hashing, and the
+ * time that goes by behind others.
+ */
+private class Expectation(
+    val placement: Placement,
+    val equalTimes: Long,
+    val weight: Long,
+    val hasFreeSlot: Boolean,
+    val queueing: Duration,
+)
+
+/** The part of a route's objective that a request may spend behind others at an engine; the rest is for its own prompt. */
+private const val QUEUEING_PART = 0.8
+
+private fun PlacementQuestion.longestQueue(): Duration = facts.route.objectiveMilliseconds.milliseconds * QUEUEING_PART
 
 private fun PlacementQuestion.expect(
     candidate: EndpointState,
@@ -95,7 +109,8 @@
     val name = candidate.endpoint.name
     val handicap = handicaps[name] ?: Duration.ZERO
     val steps = ((computing + candidate.batchCost(now) + handicap) / EQUAL_TIMES).toLong()
-    return Expectation(Placement(name, missed), steps, rendezvousWeight(subject, name.text), candidate.freeSlots(now) > 0)
+    val queueing = candidate.tokenCost * candidate.waitingTokens(now).toDouble()
+    return Expectation(Placement(name, missed), steps, rendezvousWeight(subject, name.text), candidate.freeSlots(now) > 0, queueing)
 }
 
 /**
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
@@ -250,8 +251,12 @@
 }
 
 private fun RoutingState.withNamedWeights(now: Moment): RoutingState {
-    val newer = view.catalogue.weights.values.filter { it.number > (named[it.model]?.number ?: 0) }
-    return copy(named = newer.fold(named) { all, weights -> all.put(weights.model, NamedWeights(weights.number, now)) })
+    val newer = view.catalogue.weights.values.filter { it.number > (named[it.model]?.lastOrNull()?.number ?: 0) }
+    return copy(
+        named = newer.fold(named) { all, weights ->
+            all.put(weights.model, (all[weights.model] ?: persistentListOf()).with(NamedWeights(weights.number, now)))
+        },
+    )
 }
 
 private fun RoutingState.onFleet(newFleet: FleetView, place: PlaceRequest, now: Moment): RoutingStep =
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -3,8 +3,6 @@
  */
 package sniperoute.request.routing.decision
 
-import sniperoute.version.message.HeldParts
-import sniperoute.version.message.EndpointWork
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -22,6 +20,8 @@
 import sniperoute.version.decision.noEvidenceTable
 import sniperoute.version.decision.unknownFleet
 import sniperoute.version.message.EndpointName
+import sniperoute.version.message.EndpointWork
+import sniperoute.version.message.HeldParts
 import sniperoute.version.message.ModelName
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
@@ -68,7 +68,7 @@
     public val routers: Int = 1,
     public val fleet: FleetView = unknownFleet(),
     public val members: PersistentMap<ServiceName, PersistentList<EndpointName>> = persistentMapOf(),
-    public val named: PersistentMap<ModelName, NamedWeights> = persistentMapOf(),
+    public val named: PersistentMap<ModelName, PersistentList<NamedWeights>> = persistentMapOf(),
     public val told: PersistentMap<EndpointName, EndpointWork> = persistentMapOf(),
     public val newlyHeld: PersistentList<HeldParts> = persistentListOf(),
     public val nextTelling: Moment = Moment.EARLIEST,
@@ -80,9 +80,19 @@
     public val weightsLimit: Duration? = null,
 )
 
-/** The newest weights of a model and when this router learned of them. */
+/** Weights of a model that were named, and when this router learned of them. */
 public data class NamedWeights(public val number: Long, public val seen: Moment)
 
+/** How many names of a model's weights are remembered. */
+private const val MOST_NAMES = 16
+
+/** Returns these names, the newest last, with [newer] as well. */
+internal fun PersistentList<NamedWeights>.with(newer: NamedWeights): PersistentList<NamedWeights> =
+    (if (size >= MOST_NAMES) removeAt(0) else this).add(newer)
+
+/** Returns since when weights above [number] are known, or `null` while there are none. */
+internal fun PersistentList<NamedWeights>.outdatedSinceOrNull(number: Long): Moment? = firstOrNull { it.number > number }?.seen
+
 /** Returns the state of a router that has just started at [now]. */
 public fun newRoutingState(now: Moment, settings: RoutingSettings = RoutingSettings()): RoutingState = RoutingState(
     view = ServingView(emptyCatalogue(), Moment.EARLIEST),
--- /dev/null
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -0,0 +1,262 @@
+/**
+ * Routing to endpoints that the platform lists: weights that are named while traffic runs, endpoints that change, work that
+ * routers share, and the budget of repeats.
+ */
+package sniperoute.request
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Test
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.FailureDomain
+import sniperoute.request.prefix.decision.contentHash
+import sniperoute.request.routing.decision.*
+import sniperoute.request.routing.message.*
+import sniperoute.version.decision.FleetView
+import sniperoute.version.message.*
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val model = ModelName("m")
+private val desk = ServiceName("desk")
+private val store = StorePlace("10.0.0.9", 80, FailureDomain("d"), 100_000)
+private val review = Route(
+    name = RouteName("review"),
+    path = "/",
+    service = desk,
+    requestClass = RequestClass.DRAFTING,
+    deadlineMilliseconds = 6_000,
+    gapMilliseconds = 1_600,
+    repetition = Repetition.REPEATABLE,
+    isOpen = true,
+    mostEndpoints = 2,
+    objectiveMilliseconds = 800,
+    isStreamed = true,
+)
+
+private fun items(weights: Long): List<Item> = listOf(
+    ServiceItem(
+        Service(
+            desk,
+            ServiceKind.MODEL,
+            persistentListOf(),
+            null,
+            null,
+            isListed = true,
+            engine = EngineProfile(64, 90_000, 1, 1.0, persistentListOf(model)),
+        ),
+    ),
+    ServiceItem(Service(ServiceName("memory"), ServiceKind.STORE, persistentListOf(), null, null, store = store)),
+    RouteItem(review),
+    ModelWeightsItem(ModelWeights(model, weights, start)),
+)
+
+private fun fleetEndpoint(name: String, weights: Long = 1, isChanging: Boolean = false, incarnation: String = "1") = FleetEndpoint(
+    ListedEndpoint(
+        Endpoint(EndpointName(name), "h-$name", 1, FailureDomain("d"), 64, true),
+        desk,
+        incarnation,
+        "v1",
+        false,
+        persistentMapOf(),
+    ),
+    persistentMapOf(model to weights),
+    isChanging,
+)
+
+private fun fleet(number: Long, vararg endpoints: FleetEndpoint) =
+    FleetChanged(FleetView(number, endpoints.fold(persistentMapOf()) { all, one -> all.put(one.name, one) }))
+
+private fun listedFacts(id: String, at: Moment, session: Long = 7, route: Route = review) = RequestFacts(
+    id = RequestId(id),
+    workspace = null,
+    key = null,
+    route = route,
+    digest = RequestDigest("digest-$id"),
+    hash = contentHash(id.toByteArray()),
+    chain = listOf(1L, session, contentHash(id.toByteArray())).toPersistentList(),
+    promptTokens = 9_000,
+    answerTokens = 20,
+    arrived = at,
+    deadline = at + 6.seconds,
+    model = model,
+    partTokens = persistentListOf(2_500, 6_300, 9_000),
+    subject = session,
+    queueUntil = at + 100.milliseconds,
+)
+
+private class ListedDriver(settings: RoutingSettings = RoutingSettings(), weights: Long = 1) {
+    var now = start
+    var state = newRoutingState(start, settings)
+
+    init {
+        input(ViewChanged(view(items(weights))))
+    }
+
+    fun input(input: RoutingInput?): List<RoutingOrder> {
+        val step = state.step(soonestToken(2.0), now, input)
+        state = step.state
+        return step.orders
+    }
+
+    fun send(id: String, session: Long = 7, route: Route = review): Dispatch? =
+        input(Arrived(listedFacts(id, now, session, route))).filterIsInstance<Dispatch>().firstOrNull()
+
+    fun end(id: String, reach: Reach): List<RoutingOrder> = input(AttemptEnded(RequestId(id), Unanswered(reach, true, "x")))
+
+    fun wait(milliseconds: Int): List<RoutingOrder> {
+        now += milliseconds.milliseconds
+        return input(null)
+    }
+}
+
+class ListedRoutingTest {
+    @Test
+    fun `an endpoint that is about to change its weights gets nothing`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a", isChanging = true), fleetEndpoint("b")))
+        expectThat(List(8) { router.send("$it", session = it.toLong()) }.mapNotNull { it?.endpoint?.name?.text }.distinct())
+            .isEqualTo(listOf("b"))
+    }
+
+    @Test
+    fun `a request names the weights that its endpoint serves, and the newest are preferred`() {
+        val router = ListedDriver(weights = 3)
+        router.input(fleet(1, fleetEndpoint("a", weights = 2), fleetEndpoint("b", weights = 3)))
+        val sent = router.send("1")!!
+        expectThat(sent.endpoint.name.text).isEqualTo("b")
+        expectThat(sent.weights).isEqualTo(WeightsVersion("3"))
+    }
+
+    @Test
+    fun `weights count as old from when the first newer ones were named, not the newest`() {
+        val router = ListedDriver(RoutingSettings(weightsLimit = 7.seconds), weights = 2)
+        router.input(fleet(1, fleetEndpoint("a", weights = 1)))
+        expectThat(router.send("1")).isNotNull()
+        router.now += 6.seconds
+        router.input(ViewChanged(view(items(3), revision = 2)))
+        router.now += 2.seconds
+        expectThat(router.send("2")).isNull()
+        expectThat(router.wait(150).filterIsInstance<Refuse>()).hasSize(1)
+    }
+
+    @Test
+    fun `two routers that know nothing send a session to the same home, whatever else differs`() {
+        val homes = listOf("x", "y").map { first ->
+            val router = ListedDriver()
+            router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
+            router.send(first, session = 1)
+            List(20) { router.send("$first$it", session = 100L + it)?.endpoint?.name }
+        }
+        expectThat(homes[0]).isEqualTo(homes[1])
+    }
+
+    @Test
+    fun `parts that another router had computed are known here, and are not stored twice`() {
+        val first = ListedDriver()
+        val second = ListedDriver()
+        val members = List(6) { fleetEndpoint("e$it") }.toTypedArray()
+        listOf(first, second).forEach { it.input(fleet(1, *members)) }
+        val sent = first.send("1")!!
+        expectThat(sent.storeTo).isEqualTo(store)
+        val note = first
+            .wait(60)
+            .filterIsInstance<TellWork>()
+            .single()
+            .note
+        second.input(FleetWorked(FleetWork(note.work, note.held)))
+        val other = second.send("2")!!
+        expectThat(other.endpoint.name).isEqualTo(sent.endpoint.name)
+        expectThat(other.storeTo).isNull()
+        expectThat(other.importFrom).isEqualTo(store)
+    }
+
+    @Test
+    fun `what other routers have at an endpoint counts, and what this one told of itself does not count twice`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a"), fleetEndpoint("b")))
+        val name = router.send("1")!!.endpoint.name
+        router.wait(60)
+        router.input(FleetWorked(FleetWork(persistentListOf(EndpointWork(name, 11, 90_000)), persistentListOf())))
+        val endpoint = router.state.endpoints.getValue(name)
+        expectThat(endpoint.freeSlots(router.now)).isEqualTo(64 - 11)
+        expectThat(endpoint.waitingTokens(router.now)).isEqualTo(90_000)
+        expectThat(router.send("2", session = 8)?.endpoint?.name).isNotEqualTo(name)
+    }
+
+    @Test
+    fun `a refused request goes on elsewhere without counting as a run, within bounds`() {
+        val router = ListedDriver()
+        router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
+        val once = review.copy(repetition = Repetition.ONCE_ONLY, mostEndpoints = 1)
+        var sent = router.send("1", route = once)
+        var count = 0
+        while (sent != null) {
+            count += 1
+            sent = router.end("1", Reach.REJECTED).filterIsInstance<Dispatch>().firstOrNull()
+        }
+        expectThat(count).isEqualTo(3)
+    }
+
+    @Test
+    fun `a request runs at no more endpoints than its route says`() {
+        val router = ListedDriver()
+        router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
+        router.send("1")
+        expectThat(router.end("1", Reach.BROKEN).filterIsInstance<Dispatch>()).hasSize(1)
+        expectThat(router.end("1", Reach.FAULTED).single { it is GiveUp }).isA<GiveUp>()
+    }
+
+    @Test
+    fun `repeats stay within the part of the shared budget that one of many routers has`() {
+        val router = ListedDriver(RoutingSettings(RetryAllowance(ratio = 0.2, extra = 56, window = 10.seconds)))
+        router.input(RoutersCounted(8))
+        router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
+        var repeats = 0
+        repeat(100) { number ->
+            router.now += 50.milliseconds
+            router.send("$number", session = number.toLong())
+            repeats += router.end("$number", Reach.BROKEN).filterIsInstance<Dispatch>().size
+            router.end("$number", Reach.BROKEN)
+        }
+        expectThat(repeats).isLessThanOrEqualTo((100 * 0.2 + 56.0 / 8).toInt())
+    }
+
+    @Test
+    fun `an endpoint that comes back as another run holds nothing, and what broke there is charged`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a"), fleetEndpoint("b")))
+        val sent = router.send("1")!!
+        router.end("1", Reach.BROKEN)
+        val others = listOf("a", "b").filter { it != sent.endpoint.name.text }.map { fleetEndpoint(it) }
+        val orders = router.input(fleet(2, fleetEndpoint(sent.endpoint.name.text, incarnation = "2"), *others.toTypedArray()))
+        expectThat(
+            orders
+                .filterIsInstance<ReportDeath>()
+                .single()
+                .digests
+                .map { it.text },
+        ).isEqualTo(listOf("digest-1"))
+        val held = router.state.knowledge.heldAt(sent.endpoint.name, listOf(1L, 7L), WeightsVersion("1"), router.now)
+        expectThat(held).isEqualTo(0)
+    }
+
+    @Test
+    fun `an endpoint that is gone from the list gets nothing`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a")))
+        router.input(fleet(2))
+        expectThat(router.send("1")).isNull()
+        expectThat(router.state.endpoints).isEmpty()
+    }
+}
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -40,7 +40,7 @@
  * The part of a service's endpoints that may have an open order: most of that time they finish their runs, so few load at once,
  * and the others carry the traffic meanwhile.
  */
-private const val OPEN_PART = 3
+private const val OPEN_PART = 2
 private const val FEWEST_OPEN = 2
 
 /** How far an order is: from [planned] on routers leave the endpoint alone. */
@@ -204,7 +204,7 @@
         }
 }
 
-private fun mostOpen(size: Int): Int = maxOf(FEWEST_OPEN, (size + OPEN_PART - 1) / OPEN_PART).coerceAtMost(maxOf(1, size - 1))
+private fun mostOpen(size: Int): Int = maxOf(FEWEST_OPEN, size / OPEN_PART).coerceAtMost(maxOf(1, size - 1))
 
 /** The endpoints that are furthest behind load first: no endpoint may be left behind when names follow each other quickly. */
 private fun EndpointLoad.oldestOf(wanted: List<ModelWeights>): Long = wanted.minOf { (weights[it.model] ?: 0) - it.number }
--- /dev/null
+++ b/version/src/test/kotlin/sniperoute/version/WeightLoadsTest.kt
@@ -0,0 +1,161 @@
+/**
+ * Which endpoints are ordered to load named weights, through lost, late and refused orders.
+ */
+package sniperoute.version
+
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import sniperoute.process.clock.Moment
+import sniperoute.process.identity.FailureDomain
+import sniperoute.version.decision.*
+import sniperoute.version.message.*
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val model = ModelName("m")
+private val service = ServiceName("s")
+private val start = Moment(1_000_000_000)
+
+private fun listed(name: String, incarnation: String = "1", weights: Long = 1) = ListedEndpoint(
+    Endpoint(EndpointName(name), "h", 1, FailureDomain("d"), 64, true),
+    service,
+    incarnation,
+    "v1",
+    false,
+    mapOf(model to weights).toImmutableMap(),
+)
+
+private fun report(weights: Long, count: Long, isBusy: Boolean = false) = EndpointReport("1", persistentMapOf(model to weights), count, isBusy)
+
+/** An endpoint that takes orders as the platform says: the count must fit, one order at a time. */
+private class PlayedEndpoint(var weights: Long = 1) {
+    var count = 0L
+    var loading: Long? = null
+    var doneAt = start
+    val late = mutableListOf<Pair<Moment, OrderEndpoint>>()
+
+    fun take(order: OrderEndpoint, now: Moment): OrderOutcome {
+        settle(now)
+        if (loading != null || order.count != count) return OrderOutcome.CONFLICT
+        if (order.number == weights) return OrderOutcome.HOLDS
+        count += 1
+        loading = order.number
+        doneAt = now + 600.milliseconds
+        return OrderOutcome.TAKEN
+    }
+
+    fun settle(now: Moment) {
+        val loads = loading ?: return
+        if (now >= doneAt) {
+            weights = loads
+            loading = null
+        }
+    }
+}
+
+class WeightLoadsTest {
+    private fun tend(loads: WeightLoads, number: Long, now: Moment): LoadStep =
+        loads.tend(mapOf(model to ModelWeights(model, number, start)), { listOf(model) }, now)
+
+    private fun known(vararg weights: Long): WeightLoads = weights.foldIndexed(
+        noWeightLoads(start).relist(weights.mapIndexed { position, number -> listed("e$position", weights = number) }),
+    ) { position, loads, number -> loads.reported(EndpointName("e$position"), report(number, 0), start) }
+
+    @Test
+    fun `the endpoints furthest behind load first`() {
+        val planned = tend(known(3, 1, 2, 3), 4, start).loads
+        expectThat(planned.endpoints.values.filter { it.open != null }.map { it.listed.endpoint.name.text }.sorted()).isEqualTo(listOf("e1", "e2"))
+    }
+
+    @Test
+    fun `routers have time to leave an endpoint alone before it is ordered`() {
+        val planned = tend(known(1, 1), 2, start)
+        expectThat(planned.actions).isEmpty()
+        expectThat(planned.loads.endpoints.values.count { it.open != null }).isEqualTo(1)
+        expectThat(tend(planned.loads, 2, start + 50.milliseconds).actions.filterIsInstance<OrderEndpoint>()).hasSize(1)
+    }
+
+    @Test
+    fun `an order without answer is sent again under the same count, so that only one of them is taken`() {
+        val planned = tend(known(1, 1), 2, start).loads
+        val first = tend(planned, 2, start + 50.milliseconds)
+        val name = first.actions.filterIsInstance<OrderEndpoint>().single().listed.endpoint.name
+        val lost = first.loads.ordered(name, 2, OrderOutcome.LOST, start + 900.milliseconds)
+        val again = tend(lost, 2, start + 2.seconds).actions.filterIsInstance<OrderEndpoint>().single()
+        expectThat(again.count).isEqualTo(first.actions.filterIsInstance<OrderEndpoint>().single().count)
+    }
+
+    @Test
+    fun `a leader whose order met a higher fence orders nothing more`() {
+        val fenced = known(1, 1, 1).ordered(EndpointName("e0"), 2, OrderOutcome.FENCED, start)
+        expectThat(tend(fenced, 2, start + 10.seconds).loads.endpoints.values.count { it.open != null }).isEqualTo(0)
+    }
+
+    @Test
+    fun `a new leader orders nothing before the rest is over, and nothing to busy endpoints`() {
+        val resting = noWeightLoads(start + 3.seconds).relist(listOf(listed("e0"), listed("e1")))
+        val read = tend(resting, 2, start)
+        expectThat(read.actions).hasSize(2).all { get { this is ReadEndpoint }.isTrue() }
+        val reported = read.loads
+            .reported(EndpointName("e0"), report(1, 4, isBusy = true), start)
+            .reported(EndpointName("e1"), report(1, 2), start)
+        expectThat(tend(reported, 2, start + 1.seconds).loads.endpoints.values.count { it.open != null }).isEqualTo(0)
+        val due = tend(reported, 2, start + 3.seconds).loads.endpoints
+        expectThat(due.filterValues { it.open != null }.keys.map { it.text }).isEqualTo(listOf("e1"))
+    }
+
+    @Test
+    fun `whatever is lost or late, every endpoint comes to the newest weights and no late order undoes them`() {
+        runBlocking {
+            checkAll(Arb.long()) { seed ->
+                val random = Random(seed)
+                val names = List(6) { EndpointName("e$it") }
+                val played = names.associateWith { PlayedEndpoint() }
+                var loads = noWeightLoads(start).relist(names.map { listed(it.text) })
+                var now = start
+                var number = 1L
+                var mostOpen = 0
+                repeat(600) { round ->
+                    now += 50.milliseconds
+                    if (round % 60 == 0 && round < 240) number += 1
+                    played.values.forEach { endpoint ->
+                        endpoint.settle(now)
+                        endpoint.late.filter { it.first <= now }.forEach { endpoint.take(it.second, now) }
+                        endpoint.late.removeAll { it.first <= now }
+                    }
+                    val step = tend(loads, number, now)
+                    loads = step.loads
+                    mostOpen = maxOf(mostOpen, loads.endpoints.values.count { it.open != null })
+                    step.actions.forEach { action ->
+                        val name = action.listed.endpoint.name
+                        val endpoint = played.getValue(name)
+                        loads = when (action) {
+                            is ReadEndpoint -> loads.reported(name, report(endpoint.weights, endpoint.count, endpoint.loading != null), now)
+                            is OrderEndpoint -> {
+                                val isDisturbed = round < 300 && random.nextInt(3) == 0
+                                if (isDisturbed) endpoint.late += (now + random.nextInt(2_000, 12_000).milliseconds) to action
+                                val outcome = if (isDisturbed) OrderOutcome.LOST else endpoint.take(action, now)
+                                loads.ordered(name, action.number, outcome, now)
+                            }
+                        }
+                    }
+                }
+                expectThat(mostOpen).describedAs("seed $seed").isLessThanOrEqualTo(names.size / 2)
+                expectThat(played.values.map { it.weights }).describedAs("seed $seed").all { isEqualTo(number) }
+            }
+        }
+    }
+}
