Spend an equal part of each rate while control is silent, and drain in the time that is left

Ruled out: the budget of repeats (14 repeats). Change: a router that hears no control replica for 0.9 s accrues its equal part of each rate (fleet time stands still without a leader, so nothing is granted twice; one that is cut off alone adds one part of many, within the tolerance); a stopping router closes idle connections after the balancer's lag and refuses what still comes as not run. Releases of listed services, and the runs of stores of cached parts, are known.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -34,6 +34,7 @@
     SimpleChannelInboundHandler<FullHttpRequest>() {
     private var waiting: PersistentList<NettyExchange> = persistentListOf()
     private var current: NettyExchange? = null
+    private var context: ChannelHandlerContext? = null
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
         val failure = request.decoderResult().cause()
@@ -46,6 +47,16 @@
         }
     }
 
+    /** Closes the connection unless a request is under way on it. */
+    fun closeIfIdle() {
+        val current = context ?: return
+        current.executor().execute { if (this.current == null && waiting.isEmpty()) current.close() }
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
     private fun enqueue(exchange: NettyExchange) {
         waiting = waiting.add(exchange)
         startNext()
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -4,6 +4,9 @@
  */
 package sniperoute.connection.http
 
+import io.netty.util.concurrent.GlobalEventExecutor
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.group.ChannelGroup
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -56,7 +59,7 @@
     HttpThreads(MultiThreadIoEventLoopGroup(count, namedThreads("http"), NioIoHandler.newFactory()), count)
 
 /** A listening server. */
-public class HttpServer internal constructor(private val channel: Channel) {
+public class HttpServer internal constructor(private val channel: Channel, private val connections: ChannelGroup) {
     /** The port on which it listens. */
     public val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
@@ -64,6 +67,9 @@
     public fun stopListening() {
         channel.close().await(1, TimeUnit.SECONDS)
     }
+
+    /** Closes the connections on which no request is under way. */
+    public fun closeIdleConnections(): Unit = connections.forEach { it.pipeline().get(CallerConnection::class.java)?.closeIfIdle() }
 }
 
 /** Certificate chain and private key of a server, in PEM files. */
@@ -86,18 +92,26 @@
     handle: HandleExchange,
 ): HttpServer {
     val tlsContext = tls?.let { SslContextBuilder.forServer(it.certificateChain.toFile(), it.privateKey.toFile()).build() }
+    val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     val bootstrap = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(serverPipeline(limits, tlsContext, isClosing, handle))
-    return HttpServer(bootstrap.bind(host, port).sync().channel())
+        .childHandler(serverPipeline(limits, tlsContext, isClosing, connections, handle))
+    return HttpServer(bootstrap.bind(host, port).sync().channel(), connections)
 }
 
-private fun serverPipeline(currentLimits: CurrentLimits, tls: SslContext?, isClosing: IsClosing, handle: HandleExchange) =
+private fun serverPipeline(
+    currentLimits: CurrentLimits,
+    tls: SslContext?,
+    isClosing: IsClosing,
+    connections: ChannelGroup,
+    handle: HandleExchange,
+) =
     object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
+            connections.add(channel)
             val limits = currentLimits()
             val headWatch = HeadWatch(limits.head)
             val decoding = HttpDecoderConfig()
--- a/process/src/test/kotlin/sniperoute/process/agreement/ReplicaGroups.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/ReplicaGroups.kt
@@ -31,12 +31,18 @@
 /** What a run of the group showed to be wrong. */
 internal class AgreementBroken(reason: String) : AssertionError(reason)
 
-internal class ReplicaGroup(names: List<String>, private val random: Random) {
+internal class ReplicaGroup(
+    names: List<String>,
+    private val random: Random,
+    seeds: List<String> = names,
+    private val settings: AgreementSettings = AgreementSettings(names.map(::VmName).toPersistentSet(), entriesPerMessage = 8),
+    startsAll: Boolean = true,
+) {
     private val vms = names.map(::VmName)
-    private val settings = AgreementSettings(vms.toPersistentSet(), entriesPerMessage = 8)
-    private val founders = vms.map { ReplicaIdentity(it, DiskIdentity(0)) }
+    private val founders = seeds.map { ReplicaIdentity(VmName(it), DiskIdentity(0)) }
+    private val newcomers = vms.filter { it.text !in seeds }.map { ReplicaIdentity(it, DiskIdentity(0)) }
     private val founding = foundingLog(Membership(founders.toPersistentList()))
-    val replicas = founders.map { Replica(Disk(it, 0, null, founding)) }
+    val replicas = founders.map { Replica(Disk(it, 0, null, founding)) } + newcomers.map { Replica(Disk(it, 0, null, emptyLog())) }
     var flights: PersistentList<Flight> = persistentListOf()
     var cuts: Set<Pair<VmName, VmName>> = emptySet()
     var now = Moment(1_000_000)
@@ -46,7 +52,7 @@
     private var lastProposal = 0L
 
     init {
-        replicas.forEach(::start)
+        if (startsAll) replicas.forEach(::start)
     }
 
     val committedIndex: Long get() = committed.keys.maxOrNull() ?: 0
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control
 
+import sniperoute.version.message.STORE_IS_DOWN
 import sniperoute.process.duty.Duty
 import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.endpoint.collecting
@@ -116,6 +117,7 @@
             is KeepSnapshot -> keep(order)
             is ReadList -> endpoints.list { listed -> inbox.offer(EndpointsListed(listed)) }
             is AskEndpoint -> ask(order)
+            is ReadStore -> endpoints.readStore(order.place) { run -> inbox.offer(StoreSeen(order.service, run ?: STORE_IS_DOWN)) }
             is NoteEvent -> recorder.record(order.kind, order.subject, order.detail)
         }
     }
--- a/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control
 
+import sniperoute.version.message.StorePlace
 import sniperoute.common.ListEndpoints
 import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.version.decision.EndpointReport
@@ -16,10 +17,14 @@
 /** Sends an order under [fence]; [onOutcome] is told once. */
 public typealias OrderListedEndpoint = (order: OrderEndpoint, fence: Long, onOutcome: (OrderOutcome) -> Unit) -> Unit
 
+/** Asks a store of cached parts for its run; [onRun] is told once, `null` when it does not answer. */
+public typealias ReadStoreRun = (place: StorePlace, onRun: (Long?) -> Unit) -> Unit
+
 /** The calls of a control replica to endpoints; [list], [read] and [order] serve listed services, [call] the declared ones. */
 public class EndpointOffice(
     public val call: CallEndpoint,
     public val list: ListEndpoints = { it(null) },
     public val read: ReadListedEndpoint = { _, onReport -> onReport(null) },
     public val order: OrderListedEndpoint = { _, _, onOutcome -> onOutcome(OrderOutcome.LOST) },
+    public val readStore: ReadStoreRun = { _, onRun -> onRun(null) },
 )
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control.decision
 
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -125,6 +126,13 @@
         .mapNotNull { (it.item as? ModelWeightsItem)?.weights }
         .associateBy { it.model }
 
+/** Returns the stores of cached parts, by the services that name them. */
+public fun ControlState.stores(): Map<ServiceName, StorePlace> =
+    published.changes.values
+        .mapNotNull { (it.item as? ServiceItem)?.service }
+        .mapNotNull { service -> service.store?.let { service.name to it } }
+        .toMap()
+
 /** Returns the models that the listed service [name] serves. */
 public fun ControlState.modelsOf(name: ServiceName): List<ModelName> = serviceOrNull(name)?.engine?.models.orEmpty()
 
@@ -135,6 +143,7 @@
 private fun ControlState.moveItemOrNull(service: Service, command: SubmitConfiguration, index: Long): MoveItem? {
     val existing = moveOrNull(service.name)
     val declared = service.move
+    if (service.isListed) return existing?.let(::MoveItem)
     val current = servedWeightsOrNull(service, existing) ?: return null
     return when {
         existing != null && existing.isRunning -> MoveItem(existing).takeIf { existing.isStillWanted(declared) }
@@ -236,6 +245,7 @@
 private fun ControlState.applyStartMove(command: StartMove, index: Long): Applied {
     val service = serviceOrNull(command.service) ?: return noEffect("service ${command.service} is not in force")
     val existing = moveOrNull(command.service)
+    if (service.isListed) return applyStartRelease(command, existing, index)
     val current = servedWeightsOrNull(service, existing)
     return when {
         current == null || service.endpoints.size < 2 -> noEffect("service ${command.service} can't be moved")
@@ -249,6 +259,19 @@
     }
 }
 
+private fun ControlState.applyStartRelease(command: StartMove, existing: Move?, index: Long): Applied {
+    val from = command.from
+    return when {
+        existing != null && existing.to == command.to && existing.stage != MoveStage.TAKEN_BACK -> tookEffect()
+        existing != null && existing.isRunning -> noEffect("a move to ${existing.to} is running; take it back first")
+        from == null -> noEffect("no endpoint of service ${command.service} is listed")
+        else -> {
+            val allowed = command.deadlineMilliseconds.milliseconds
+            withMove(startRelease(command.service, from, command.to, allowed, command.at, index)).tookEffect()
+        }
+    }
+}
+
 private fun ControlState.applyAdvanceMove(command: AdvanceMove): Applied =
     if (moveOrNull(command.expected.service) == command.expected) {
         withMove(command.next).tookEffect()
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -93,6 +93,8 @@
     public val loads: WeightLoads = noWeightLoads(ordersFrom),
     public val nextList: Moment = Moment.EARLIEST,
     public val works: FleetWorks = noFleetWorks(),
+    public val stores: PersistentMap<ServiceName, Long> = persistentMapOf(),
+    public val nextStoreRead: Moment = Moment.EARLIEST,
 )
 
 /** Whether listed services are to be tended, and how long a new leader waits for orders of an earlier one to be over. */
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -38,7 +38,17 @@
     val known = leadership ?: return unchanged()
     if (!settings.isListed) return unchanged()
     val listing = if (now < known.nextList) unchanged() else lead { copy(nextList = now + LIST_INTERVAL) }.unchanged().order(ReadList)
-    return listing.then { it.tendLoads(now) { loads -> loads } }
+    return listing.then { it.readStores(now) }.then { it.tendLoads(now) { loads -> loads } }
+}
+
+/** A store that stops answering is noticed within two of these. */
+private val STORE_INTERVAL = 1_100.milliseconds
+
+private fun DeskState.readStores(now: Moment): DeskStep {
+    val known = leadership ?: return unchanged()
+    if (now < known.nextStoreRead) return unchanged()
+    val reads = machine.stores().map { (name, place) -> ReadStore(name, place) }
+    return reads.fold(lead { copy(nextStoreRead = now + STORE_INTERVAL) }.unchanged()) { step, read -> step.order(read) }
 }
 
 internal fun DeskState.onListed(input: EndpointsListed, now: Moment): DeskStep {
@@ -56,13 +66,13 @@
     return asked.then { it.publishFleet() }
 }
 
-private fun DeskState.publishFleet(): DeskStep {
+internal fun DeskState.publishFleet(): DeskStep {
     val known = leadership ?: return unchanged()
     val before = known.fleet ?: return unchanged()
     val endpoints = known.loads.endpoints.values.fold(persistentMapOf<EndpointName, FleetEndpoint>()) { all, load ->
         all.put(load.listed.endpoint.name, FleetEndpoint(load.listed, load.weights, isChanging = load.open != null || load.isBusy))
     }
-    val after = before.next(endpoints)
+    val after = before.next(endpoints, known.stores)
     if (after === before) return unchanged()
     return lead { copy(fleet = after) }.unchanged().order(NotifyRouters(known.links.keys.toPersistentList(), after.noticeSince(before)))
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/MoveTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/MoveTending.kt
@@ -57,7 +57,8 @@
             .total(),
     )
     val observation = MoveObservation(baseline.started, known.loaded.toImmutableMap(), evidence)
-    val advice = adviseMove(move, service, observation, now) as? GoTo ?: return unchanged()
+    val advised = if (service.isListed) adviseRelease(move, observation, now) else adviseMove(move, service, observation, now)
+    val advice = advised as? GoTo ?: return unchanged()
     val next = move.follow(advice, applied + 1)
     if (next == move) return unchanged()
     return lead { copy(openAdvances = openAdvances.add(move.service)) }.propose(AdvanceMove(now, move, next), NobodyWaits)
--- a/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -77,7 +77,7 @@
 @Serializable
 public data class PardonDigest(override val at: Moment, public val digest: RequestDigest, public val operator: String) : Command
 
-/** Starts a move of [service] to the weights [to]. */
+/** Starts a move of [service] to the weights [to]; for a listed service they are releases, and [from] is the present one. */
 @Serializable
 public data class StartMove(
     override val at: Moment,
@@ -85,6 +85,7 @@
     public val to: WeightsVersion,
     public val deadlineMilliseconds: Long,
     public val operator: String,
+    public val from: WeightsVersion? = null,
 ) : Command
 
 /** Replaces [expected] by [next]; without effect when the move is not [expected] any more. */
--- a/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
@@ -3,6 +3,9 @@
  */
 package sniperoute.control.message
 
+import sniperoute.version.message.STORE_IS_DOWN
+import sniperoute.version.message.StorePlace
+import sniperoute.version.message.ServiceName
 import sniperoute.version.message.ListedEndpoint
 import sniperoute.version.decision.OrderOutcome
 import sniperoute.version.decision.LoadAction
@@ -67,6 +70,9 @@
 /** The platform's list was read; `null` when it could not be. */
 public data class EndpointsListed(public val listed: ImmutableList<ListedEndpoint>?) : DeskInput
 
+/** A store of cached parts told its [run], or [STORE_IS_DOWN] stands for no answer. */
+public data class StoreSeen(public val service: ServiceName, public val run: Long) : DeskInput
+
 /** A listed endpoint reported, or gave no report. */
 public data class EndpointRead(public val endpoint: EndpointName, public val report: EndpointReport?) : DeskInput
 
@@ -114,6 +120,9 @@
 /** Read the platform's list. */
 public data object ReadList : DeskOrder
 
+/** Ask a store of cached parts whether it is there. */
+public data class ReadStore(public val service: ServiceName, public val place: StorePlace) : DeskOrder
+
 /** Ask something of a listed endpoint; orders carry [fence]. */
 public data class AskEndpoint(public val action: LoadAction, public val fence: Long) : DeskOrder
 
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -4,6 +4,8 @@
  */
 package sniperoute.router
 
+import sniperoute.request.admission.decision.RefusalKind
+import arrow.core.left
 import sniperoute.process.duty.Duty
 import kotlin.time.Duration
 import sniperoute.version.decision.Catalogue
@@ -145,6 +147,8 @@
     public val timelineEvents: Int,
 )
 
+private val draining = Refusal(RefusalKind.NOT_READY, "this router stops; come back on another connection")
+
 /** Runs a router until it is stopped. */
 public fun runRouter(parts: RouterParts) {
     val clock = systemClock()
@@ -166,6 +170,7 @@
     private val lastRequest = AtomicLong()
     private val watchedRevision = AtomicLong(-1)
     private val isStopping = AtomicBoolean(false)
+    private val isDraining = AtomicBoolean(false)
     private val isReadyNoted = AtomicBoolean(false)
     private val routingState = AtomicReference(newRoutingState(clock(), parts.routing))
     private val session = SessionDuty(
@@ -239,7 +244,8 @@
 
     private fun receive(exchange: Exchange) {
         val id = parts.frontEnd.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.another() else it }
-        parts.frontEnd.runOf(exchange, id, session.view.get(), ::ownerOf, outlets, clock()).fold(
+        val run = if (isDraining.get()) draining.left() else parts.frontEnd.runOf(exchange, id, session.view.get(), ::ownerOf, outlets, clock())
+        run.fold(
             ifLeft = { refusal ->
                 recorder.record(
                     EventKind.REQUEST_REFUSED,
@@ -249,9 +255,9 @@
                 requests.labelValues("none", refusal.outcome.text).inc()
                 exchange.reply(parts.frontEnd.dialect.wordRefusal(refusal, id))
             },
-            ifRight = { run ->
-                runs[id] = run
-                run.begin()
+            ifRight = { begun ->
+                runs[id] = begun
+                begun.begin()
             },
         )
     }
@@ -274,12 +280,14 @@
         else -> null
     }
 
-    /** Unready first, then no new connections, then out once every request has its answer; the session ends before its threads. */
+    /** Unready first, then no new connections or requests, then out once every request has its answer; the session ends before its threads. */
     private fun stop(callers: HttpServer) {
         isStopping.set(true)
         recorder.record(EventKind.PROCESS_STOPPING, detail = "${runs.size} requests under way")
         Thread.sleep(BALANCER_LAG.inWholeMilliseconds)
+        isDraining.set(true)
         callers.stopListening()
+        callers.closeIdleConnections()
         val patience = clock() + parts.drain
         while (runs.isNotEmpty() && clock() < patience) Thread.sleep(DRAIN_CHECK.inWholeMilliseconds)
         sessionDuty.stop(DUTY_PATIENCE)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.request.routing.decision
 
+import sniperoute.version.message.STORE_IS_DOWN
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.version.message.HeldParts
 import kotlinx.collections.immutable.PersistentMap
@@ -237,7 +238,7 @@
  * the store is not known to hold goes there. The last part of a prompt is the request's own.
  */
 private fun RoutingState.transfer(facts: RequestFacts, target: Target, now: Moment): Transfer {
-    val service = view.catalogue.services.values.firstOrNull { it.store != null }
+    val service = view.catalogue.services.values.firstOrNull { it.store != null && fleet.stores[it.name] != STORE_IS_DOWN }
     val weights = target.weights
     val shared = facts.tokensOf(facts.chain.size - 1)
     val none = Transfer(null, null, isStored = false)
@@ -328,11 +329,20 @@
         now < (retries[facts.id]?.until ?: facts.queueUntil) -> null
         workspace != null && !hasTokens(facts) ->
             Refusal(RefusalKind.OVER_RATE, overRate(workspace, facts, now), retryAfter = retryAfter(facts))
-        facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, "no endpoint was free in time", retryAfter = retryAfter(facts))
+        facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, overload(facts, now), retryAfter = retryAfter(facts))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint was free within the route's deadline")
     }
 }
 
+/** For people: which endpoints there were, and why none of them took the request. */
+private fun RoutingState.overload(facts: RequestFacts, now: Moment): String {
+    val known = members[facts.service].orEmpty().mapNotNull { endpoints[it] }
+    val usable = known.filter { it.isUsable(now) && !isOutdated(it, facts, now) }
+    val shortest = usable.minOfOrNull { it.tokenCost * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
+    return "no endpoint was free in time: ${usable.size} of ${known.size} usable, ${known.count { it.isChanging }} change their weights, " +
+        "shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
+}
+
 private fun RoutingState.overRate(workspace: WorkspaceName, facts: RequestFacts, now: Moment): String {
     val pool = tokens.poolOf(workspace)
     return "workspace $workspace is over its rate: ${facts.tokens} tokens wanted, ${pool.available} here, ${pool.asked} asked for " +
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -59,7 +59,24 @@
     } else {
         unchanged()
     }
-    return checked.then { it.drainAll(place, now) }.then { it.tellWork(now) }
+    return checked
+        .then { it.accrueAlone(now).unchanged() }
+        .then { it.drainAll(place, now) }
+        .then { it.tellWork(now) }
+}
+
+/** After this long without word from the control replicas a router is on its own: two renewals went unanswered. */
+private val CONTROL_PATIENCE = 900.milliseconds
+
+/** No leader grants tokens to a router that hears none, and fleet time stands still without one: so its part of the rate is free. */
+private fun RoutingState.accrueAlone(now: Moment): RoutingState {
+    val since = controlHeard + CONTROL_PATIENCE
+    if (!settings.accruesWithoutControl || now < since) return this
+    val limited = view.catalogue.workspaces.values.filter { it.isLimited }
+    val pools = limited.fold(tokens) { all, workspace ->
+        all.accrue(workspace.name, workspace.tokensPerSecond.toDouble() / routers, workspace.burstTokens / routers, since, now)
+    }
+    return copy(tokens = pools)
 }
 
 private fun PersistentMap<RequestDigest, Moment>.withoutOlder(now: Moment) =
@@ -245,7 +262,7 @@
 
 private fun RoutingState.onViewChanged(newView: ServingView, place: PlaceRequest, now: Moment): RoutingStep {
     val changed = newView.catalogue.revision != view.catalogue.revision
-    val next = copy(view = newView).withNamedWeights(now)
+    val next = copy(view = newView, controlHeard = now).withNamedWeights(now)
     if (!changed) return next.drainAll(place, now)
     return next.withKnownEndpoints(now).then { it.refuseWaiting(now) }.then { it.drainAll(place, now) }
 }
@@ -260,7 +277,13 @@
 }
 
 private fun RoutingState.onFleet(newFleet: FleetView, place: PlaceRequest, now: Moment): RoutingStep =
-    copy(fleet = newFleet).withKnownEndpoints(now).then { it.drainAll(place, now) }
+    copy(fleet = newFleet, knowledge = withoutLostStores(newFleet)).withKnownEndpoints(now).then { it.drainAll(place, now) }
+
+/** A store that came back as another run holds nothing. */
+private fun RoutingState.withoutLostStores(newFleet: FleetView): CacheKnowledge =
+    newFleet.stores.entries
+        .filter { (service, run) -> fleet.stores[service]?.let { it != run } ?: false }
+        .fold(knowledge) { all, (service, _) -> all.forget(EndpointName(service.text)) }
 
 private fun RoutingState.onTokens(input: TokensGranted, place: PlaceRequest, now: Moment): RoutingStep =
     copy(tokens = tokens.granted(input.workspace, input.tokens, input.retryAfter, now)).drainAll(place, now)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -72,12 +72,17 @@
     public val told: PersistentMap<EndpointName, EndpointWork> = persistentMapOf(),
     public val newlyHeld: PersistentList<HeldParts> = persistentListOf(),
     public val nextTelling: Moment = Moment.EARLIEST,
+    public val controlHeard: Moment = Moment.EARLIEST,
 )
 
-/** What routing is given at the start. Requests no longer begin on weights that are older than others named [weightsLimit] ago. */
+/**
+ * What routing is given at the start. Requests no longer begin on weights that are older than others named [weightsLimit] ago.
+ * A router that [accruesWithoutControl] spends its equal part of each rate while it hears nothing from the control replicas.
+ */
 public data class RoutingSettings(
     public val retries: RetryAllowance = RetryAllowance(),
     public val weightsLimit: Duration? = null,
+    public val accruesWithoutControl: Boolean = false,
 )
 
 /** Weights of a model that were named, and when this router learned of them. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
@@ -27,6 +27,7 @@
     public val used: Long = 0,
     public val usedBefore: Long = 0,
     public val windowStart: Moment = Moment.EARLIEST,
+    public val accruedAt: Moment = Moment.EARLIEST,
 )
 
 /** The pools of all workspaces that were active here. */
@@ -58,6 +59,21 @@
     return with(workspace, pool.copy(available = pool.available + tokens, asked = 0, retryAt = now + retryAfter))
 }
 
+/**
+ * Returns the pools after [workspace] accrued [perSecond] tokens a second up to [most] until [now], as a router's own part of the
+ * rate. Time before [since] does not count.
+ */
+public fun TokenPools.accrue(workspace: WorkspaceName, perSecond: Double, most: Long, since: Moment, now: Moment): TokenPools {
+    val pool = poolOf(workspace)
+    val start = maxOf(pool.accruedAt, since)
+    val earned = ((now - start).inWholeMicroseconds * perSecond / MICROSECONDS_PER_SECOND).toLong()
+    if (earned <= 0) return this
+    val level = maxOf(pool.available, minOf(pool.available + earned, most))
+    return with(workspace, pool.copy(available = level, accruedAt = now))
+}
+
+private const val MICROSECONDS_PER_SECOND = 1_000_000.0
+
 /** What to ask for or to give back, and the pools after that. */
 public data class TokenChange(public val ask: Long, public val giveBack: Long, public val pools: TokenPools)
 
--- a/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.version.decision
 
+import kotlinx.collections.immutable.toPersistentMap
+import sniperoute.version.message.ServiceName
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
@@ -10,8 +12,12 @@
 import sniperoute.version.message.FleetEndpoint
 import sniperoute.version.message.FleetNotice
 
-/** The endpoints at view [number]; numbers grow, over changes of the leader too. */
-public data class FleetView(public val number: Long, public val endpoints: PersistentMap<EndpointName, FleetEndpoint>)
+/** The endpoints, and the runs of the stores, at view [number]; numbers grow, over changes of the leader too. */
+public data class FleetView(
+    public val number: Long,
+    public val endpoints: PersistentMap<EndpointName, FleetEndpoint>,
+    public val stores: PersistentMap<ServiceName, Long> = persistentMapOf(),
+)
 
 /** Returns the view before the list was read. */
 public fun unknownFleet(): FleetView = FleetView(0, persistentMapOf())
@@ -21,9 +27,9 @@
 /** Returns the first view number of the leader of [term], above all of earlier leaders. */
 public fun firstFleetNumber(term: Long): Long = term shl TERM_SHIFT
 
-/** Returns the view with [endpoints] under the next number, or this one when nothing differs. */
-public fun FleetView.next(endpoints: PersistentMap<EndpointName, FleetEndpoint>): FleetView =
-    if (endpoints == this.endpoints) this else FleetView(number + 1, endpoints)
+/** Returns the view with [endpoints] and [stores] under the next number, or this one when nothing differs. */
+public fun FleetView.next(endpoints: PersistentMap<EndpointName, FleetEndpoint>, stores: PersistentMap<ServiceName, Long>): FleetView =
+    if (endpoints == this.endpoints && stores == this.stores) this else FleetView(number + 1, endpoints, stores)
 
 /** Returns what leads from [older] to this view. */
 public fun FleetView.noticeSince(older: FleetView): FleetNotice = FleetNotice(
@@ -31,6 +37,7 @@
     follows = older.number,
     changed = endpoints.values.filter { older.endpoints[it.name] != it }.toPersistentList(),
     gone = older.endpoints.keys.filter { it !in endpoints }.toPersistentList(),
+    stores = stores,
 )
 
 /** Returns all of this view, for a router that has another one. */
@@ -39,10 +46,11 @@
 /** Returns the view after [notice], or `null` when that follows another one. */
 public fun FleetView.advanceOrNull(notice: FleetNotice): FleetView? = when {
     notice.number <= number -> this
-    notice.follows == 0L -> FleetView(notice.number, notice.changed.byName(persistentMapOf()))
+    notice.follows == 0L -> FleetView(notice.number, notice.changed.byName(persistentMapOf()), notice.stores.toPersistentMap())
     notice.follows == number -> FleetView(
         notice.number,
         notice.changed.byName(notice.gone.fold(endpoints) { all, name -> all.remove(name) }),
+        notice.stores.toPersistentMap(),
     )
     else -> null
 }
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.version.message
 
+import kotlinx.collections.immutable.persistentMapOf
+import sniperoute.process.codec.ItemMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.Serializable
 import sniperoute.process.codec.ItemList
@@ -38,6 +40,9 @@
     public val fleet: Long = 0,
 ) : SessionMessage
 
+/** In place of the run of a store that does not answer. */
+public const val STORE_IS_DOWN: Long = 0
+
 /** What routers have at an endpoint: requests in work, and prompt tokens that wait to be computed. */
 @Serializable
 public data class EndpointWork(public val endpoint: EndpointName, public val running: Int, public val waitingTokens: Long)
@@ -54,13 +59,17 @@
 @Serializable
 public data class FleetWork(public val work: ItemList<EndpointWork>, public val held: ItemList<HeldParts>) : SessionMessage
 
-/** Tells a router how the fleet changed: from its view [follows], or from nothing when that is 0, to the view [number]. */
+/**
+ * Tells a router how the fleet changed: from its view [follows], or from nothing when that is 0, to the view [number]. The runs of
+ * all [stores] come with it; [STORE_IS_DOWN] stands for one that does not answer.
+ */
 @Serializable
 public data class FleetNotice(
     public val number: Long,
     public val follows: Long,
     public val changed: ItemList<FleetEndpoint>,
     public val gone: ItemList<EndpointName>,
+    public val stores: ItemMap<ServiceName, Long> = persistentMapOf(),
 ) : SessionMessage
 
 /** Tells a router that something changed, so that it renews at once. */
