--- a/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
+++ b/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
@@ -8,7 +8,6 @@
 import arrow.core.right
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** Bytes that are not the message they should be; [reason] is the library's word on it. */
@@ -29,8 +28,6 @@
 public fun <T> KSerializer<T>.fromBytes(bytes: ByteArray): Either<Undecodable, T> =
     try {
         format.decodeFromByteArray(this, bytes).right()
-    } catch (failure: SerializationException) {
-        Undecodable(failure.message.orEmpty()).left()
     } catch (failure: IllegalArgumentException) {
         Undecodable(failure.message.orEmpty()).left()
     }
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -13,7 +13,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import sniperoute.common.Operator
 import sniperoute.common.administrationJson
 import sniperoute.common.commonPageOrNull
@@ -186,13 +185,6 @@
 private fun <T> form(serializer: KSerializer<T>, exchange: Exchange): Either<WholeAnswer, T> =
     try {
         administrationJson.decodeFromString(serializer, exchange.body.decodeToString()).right()
-    } catch (failure: SerializationException) {
-        malformed(
-            failure.message
-                .orEmpty()
-                .lineSequence()
-                .first(),
-        ).left()
     } catch (failure: IllegalArgumentException) {
         malformed(
             failure.message
