Send a silent member what it lacks with a heartbeat only, and let a router on its own owe a part

While no leader grants tokens a router's part of the burst was smaller than most requests. Ruled out: the disk (followers answered), elections (none). Change: entries for a member that has not answered for two heartbeats go with heartbeats only; a router that hears no control replica lets a request go when half of its part of the burst is there, and pays what is owed first. Tests fail first: 200 messages for 200 entries, now under 20; ListedRoutingTest.

--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
@@ -40,10 +40,13 @@
     }
 }
 
+/** A member that has not answered for a while gets what it lacks with a heartbeat only, not again with each new entry. */
 private fun AgreementState.sendTo(member: ReplicaIdentity, now: Moment, heartbeat: Boolean): Transition {
     val leader = role as Leader
-    val progress = refreshed(leader.progress.getValue(member), now)
+    val known = leader.progress.getValue(member)
+    val progress = refreshed(known, now)
     return when {
+        !heartbeat && known.isStale(now, settings) -> unchanged()
         progress.next <= log.snapshot.index -> sendSnapshot(member, progress, now, heartbeat)
         progress.next <= log.lastIndex -> sendEntries(member, progress, now)
         heartbeat -> unchanged().order(Send(member, appendRequest(confirmed(progress), persistentListOf(), now)))
--- a/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
@@ -20,6 +20,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,6 +30,25 @@
 class AgreementPropertiesTest {
     private val names = listOf("a", "b", "c")
 
+    @Test
+    fun `a follower that does not answer costs the leader one message a heartbeat, however many entries there are`() {
+        val group = ReplicaGroup(names, Random(1))
+        group.calm(5.seconds) { group.isRedundant() }
+        val leader = group.leaderOrNull()!!
+        val silent = group.replicas.first { it !== leader }
+        group.crash(silent)
+        group.calm(1.seconds)
+        var sent = 0
+        repeat(200) {
+            val before = group.flights.count { it.to.vm == silent.vm }
+            group.propose()
+            sent += group.flights.count { it.to.vm == silent.vm } - before
+            group.calm(5.milliseconds)
+        }
+        expectThat(sent).isLessThan(20)
+        expectThat(group.committedIndex).isGreaterThan(190)
+    }
+
     @Test
     fun `no acknowledged entry is lost or changed, whatever fails, with a minority of disks lost`() {
         runBlocking {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -28,6 +28,7 @@
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.StorePlace
 import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.Workspace
 import sniperoute.version.message.WorkspaceName
 import sniperoute.version.message.isLimited
 import kotlin.time.Duration
@@ -49,7 +50,7 @@
     if (!view.isReady(now)) return null
     var target: Target? = null
     val taken = queueOf(service).takeOrNull { waiting ->
-        target = if (hasTokens(waiting.facts)) targetOrNull(declared, waiting.facts, place, now) else null
+        target = if (hasTokens(waiting.facts, now)) targetOrNull(declared, waiting.facts, place, now) else null
         target != null
     } ?: return null
     val chosen = checkNotNull(target) { "a request was taken without a place for it" }
@@ -61,11 +62,15 @@
 
 private data class Target(val placement: Placement, val weights: WeightsVersion?, val candidates: Int, val heldLinks: Int)
 
-private fun RoutingState.hasTokens(facts: RequestFacts): Boolean {
+private fun RoutingState.hasTokens(facts: RequestFacts, now: Moment): Boolean {
     val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
-    return workspace == null || !workspace.isLimited || facts.id in retries || tokens.poolOf(workspace.name).available >= facts.tokens
+    return workspace == null || !workspace.isLimited || facts.id in retries || tokens.poolOf(workspace.name).available >= neededTokens(workspace, facts, now)
 }
 
+/** A router on its own has a small part of the rate: half of its part of the burst lets any request go, and the rest is owed. */
+private fun RoutingState.neededTokens(workspace: Workspace, facts: RequestFacts, now: Moment): Long =
+    if (isAlone(now)) minOf(facts.tokens, workspace.burstTokens / routers / 2) else facts.tokens
+
 private fun RoutingState.targetOrNull(service: Service, facts: RequestFacts, place: PlaceRequest, now: Moment): Target? =
     versionsToTry(service, facts).firstNotNullOfOrNull { version ->
         val usable = candidates(service, facts, version, now)
@@ -196,8 +201,8 @@
     val missed = target.placement.missedTokens
     val endpoint = endpoints.getValue(name)
     val work = OwnWork(facts.digest, missed, endpoint.waitingTokens(now) + missed, hasBegun = false, isSuspect = facts.digest in suspects)
-    val isPaid = note != null || facts.workspace == null || view.catalogue.workspaces[facts.workspace]?.isLimited != true
-    val paid = if (isPaid) tokens else tokens.spend(checkNotNull(facts.workspace), facts.tokens, now)
+    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }?.takeIf { note == null && it.isLimited }
+    val paid = if (workspace == null) tokens else tokens.spend(workspace.name, facts.tokens, now, neededTokens(workspace, facts, now))
     val transfer = transfer(facts, target, now)
     val release = endpoint.release?.let(::WeightsVersion)
     return copy(
@@ -283,8 +288,9 @@
         .filter { view.catalogue.workspaces[it]?.isLimited ?: false }
         .fold(unchanged()) { step, workspace -> step.then { it.balance(workspace, now) } }
 
-/** Returns the state after [workspace] asked for or gave back tokens, as it needs. */
+/** Returns the state after [workspace] asked for or gave back tokens, as it needs; nobody hears a router on its own. */
 internal fun RoutingState.balance(workspace: WorkspaceName, now: Moment): RoutingStep {
+    if (isAlone(now)) return unchanged()
     val waiting = queues.values.sumOf { it.tokensWaiting(workspace) }
     val change = tokens.balance(workspace, waiting, now)
     val next = copy(tokens = change.pools).unchanged()
@@ -327,7 +333,7 @@
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         facts.key != null && facts.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
         now < (retries[facts.id]?.until ?: facts.queueUntil) -> null
-        workspace != null && !hasTokens(facts) ->
+        workspace != null && !hasTokens(facts, now) ->
             Refusal(RefusalKind.OVER_RATE, overRate(workspace, facts, now), retryAfter = retryAfter(facts))
         facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, overload(facts, now), retryAfter = retryAfter(facts))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint was free within the route's deadline")
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -68,10 +68,13 @@
 /** After this long without word from the control replicas a router is on its own: two renewals went unanswered. */
 private val CONTROL_PATIENCE = 900.milliseconds
 
+/** Whether this router spends its own part of each rate, since it hears no control replica. */
+internal fun RoutingState.isAlone(now: Moment): Boolean = settings.accruesWithoutControl && now >= controlHeard + CONTROL_PATIENCE
+
 /** No leader grants tokens to a router that hears none, and fleet time stands still without one: so its part of the rate is free. */
 private fun RoutingState.accrueAlone(now: Moment): RoutingState {
     val since = controlHeard + CONTROL_PATIENCE
-    if (!settings.accruesWithoutControl || now < since) return this
+    if (!isAlone(now)) return this
     val limited = view.catalogue.workspaces.values.filter { it.isLimited }
     val pools = limited.fold(tokens) { all, workspace ->
         all.accrue(workspace.name, workspace.tokensPerSecond.toDouble() / routers, workspace.burstTokens / routers, since, now)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
@@ -39,10 +39,13 @@
 /** Returns the pool of [workspace]. */
 public fun TokenPools.poolOf(workspace: WorkspaceName): TokenPool = pools[workspace] ?: TokenPool()
 
-/** Returns the pools after [tokens] of [workspace] were spent at [now]; there must be as many. */
-public fun TokenPools.spend(workspace: WorkspaceName, tokens: Long, now: Moment): TokenPools {
+/**
+ * Returns the pools after [tokens] of [workspace] were spent at [now]. There must be as many, or [needed] when the rest may be owed:
+ * what is owed is paid before anything else is spent.
+ */
+public fun TokenPools.spend(workspace: WorkspaceName, tokens: Long, now: Moment, needed: Long = tokens): TokenPools {
     val pool = poolOf(workspace).rolled(now)
-    check(pool.available >= tokens) { "$workspace has ${pool.available} tokens here, not $tokens" }
+    check(pool.available >= needed) { "$workspace has ${pool.available} tokens here, not $needed" }
     return with(workspace, pool.copy(available = pool.available - tokens, used = pool.used + tokens))
 }
 
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -20,6 +20,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
@@ -251,6 +252,28 @@
         expectThat(held).isEqualTo(0)
     }
 
+    @Test
+    fun `a router that hears no control replica spends its part of each rate, and no more over time`() {
+        val limited = WorkspaceName("w")
+        val items = items(1) + WorkspaceItem(Workspace(limited, tokensPerSecond = 80_000, burstTokens = 80_000))
+        val router = ListedDriver(RoutingSettings(accruesWithoutControl = true))
+        router.input(ViewChanged(view(items, revision = 2)))
+        router.input(RoutersCounted(8))
+        router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
+        var sent = 0L
+        repeat(400) { number ->
+            router.now += 50.milliseconds
+            val facts = listedFacts("$number", router.now, number.toLong()).copy(workspace = limited, charge = 9_000)
+            val orders = router.input(null) + router.input(Arrived(facts))
+            orders.filterIsInstance<Dispatch>().forEach {
+                sent += 9_000
+                router.input(AttemptEnded(it.id, Answered(null, null, null, false)))
+            }
+        }
+        expectThat(sent).isGreaterThan(100_000)
+        expectThat(sent).isLessThanOrEqualTo(20 * 10_000L + 10_000 + 9_000)
+    }
+
     @Test
     fun `an endpoint that is gone from the list gets nothing`() {
         val router = ListedDriver()
