--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -9,10 +9,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
@@ -12,7 +12,12 @@
  * One event: its [id], or `null`, its [data], and the [bytes] that carried it, the blank line included. One that [isComment] has
  * no field at all.
  */
-public class ServerSentEvent(public val id: String?, public val data: String, public val bytes: ByteArray, public val isComment: Boolean = false)
+public class ServerSentEvent(
+    public val id: String?,
+    public val data: String,
+    public val bytes: ByteArray,
+    public val isComment: Boolean = false,
+)
 
 /** The [rest] of a stream that is no whole event yet. */
 public class EventStreamState internal constructor(internal val rest: ByteArray)
--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -43,7 +43,7 @@
             request.protocolVersion() !in spokenVersions -> context.refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
             !request.namesOneHost() -> context.refuse(HttpResponseStatus.BAD_REQUEST, "one Host header is needed")
             waiting.size >= limits.waitingRequests -> context.refuse(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests wait here")
-            else -> enqueue(NettyExchange(context, request.toHead(), request.toBytes(), { HttpUtil.isKeepAlive(request) && !isClosing() }, ::answered))
+            else -> enqueue(request, context)
         }
     }
 
@@ -57,8 +57,9 @@
         this.context = context
     }
 
-    private fun enqueue(exchange: NettyExchange) {
-        waiting = waiting.add(exchange)
+    private fun enqueue(request: FullHttpRequest, context: ChannelHandlerContext) {
+        val mayKeepAlive = { HttpUtil.isKeepAlive(request) && !isClosing() }
+        waiting = waiting.add(NettyExchange(context, request.toHead(), request.toBytes(), mayKeepAlive, ::answered))
         startNext()
     }
 
--- a/connection/src/main/kotlin/sniperoute/connection/http/HeadWatches.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HeadWatches.kt
@@ -18,7 +18,9 @@
 
     val bytes = object : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (timer == null && !isInBody) timer = context.executor().schedule({ context.close() }, patience.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            if (timer == null && !isInBody) {
+                timer = context.executor().schedule({ context.close() }, patience.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            }
             context.fireChannelRead(message)
         }
 
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -4,14 +4,13 @@
  */
 package sniperoute.connection.http
 
-import io.netty.util.concurrent.GlobalEventExecutor
-import io.netty.channel.group.DefaultChannelGroup
-import io.netty.channel.group.ChannelGroup
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.group.ChannelGroup
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -21,6 +20,7 @@
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
 import io.netty.handler.timeout.IdleStateHandler
+import io.netty.util.concurrent.GlobalEventExecutor
 import sniperoute.process.duty.namedThreads
 import java.net.InetSocketAddress
 import java.nio.file.Path
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
@@ -5,9 +5,9 @@
 package sniperoute.process.agreement.decision
 
 import kotlinx.collections.immutable.toPersistentList
+import sniperoute.process.agreement.message.MembersNotice
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.agreement.message.MembershipEntry
-import sniperoute.process.agreement.message.MembersNotice
 import sniperoute.process.agreement.message.ReplicaIdentity
 import sniperoute.process.clock.Moment
 import sniperoute.process.identity.VmName
--- a/process/src/test/kotlin/sniperoute/process/agreement/GroupFormingTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/GroupFormingTest.kt
@@ -83,7 +83,11 @@
                 expectThat(group.calm(10.seconds) { "f" in group.voters() && group.isRedundant() }).describedAs("seed $seed").isTrue()
                 expectThat(group.now - begun).describedAs("seed $seed").isLessThan(4.seconds)
                 expectThat(group.committedIndex).describedAs("seed $seed").isGreaterThan(committed - 1)
-                expectThat(group.named("f").disk.log.lastIndex).describedAs("seed $seed").isGreaterThan(committed - 1)
+                expectThat(
+                    group
+                        .named("f")
+                        .disk.log.lastIndex,
+                ).describedAs("seed $seed").isGreaterThan(committed - 1)
             }
         }
     }
@@ -101,7 +105,10 @@
         val term = group.leaderOrNull()!!.state!!.term
         group.start(group.named(away))
         group.calm(5.seconds)
-        val membership = group.leaderOrNull()!!.state!!.log.membership
+        val membership = group
+            .leaderOrNull()!!
+            .state!!
+            .log.membership
         expectThat(group.leaderOrNull()!!.state!!.term).isEqualTo(term)
         expectThat(membership.learners.map { it.vm.text }).contains(away)
     }
@@ -114,7 +121,17 @@
         val lost = group.named("b")
         group.loseDisk(lost)
         val begun = group.now
-        expectThat(group.calm(10.seconds) { lost.disk.identity in group.leaderOrNull()?.state?.log?.membership?.voters.orEmpty() }).isTrue()
+        expectThat(
+            group.calm(10.seconds) {
+                lost.disk.identity in group
+                    .leaderOrNull()
+                    ?.state
+                    ?.log
+                    ?.membership
+                    ?.voters
+                    .orEmpty()
+            },
+        ).isTrue()
         expectThat(group.now - begun).isLessThan(2.seconds)
     }
 
--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -3,7 +3,6 @@
  */
 package sniperoute.common
 
-import sun.misc.Signal
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
@@ -14,6 +13,7 @@
 import sniperoute.process.settings.readCheckedFile
 import sniperoute.process.timeline.Recorder
 import sniperoute.process.timeline.message.EventKind
+import sun.misc.Signal
 import java.io.PrintStream
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -3,7 +3,8 @@
  */
 package sniperoute.control
 
-import sniperoute.process.identity.VmName
+import sniperoute.control.codec.committed
+import sniperoute.control.codec.restored
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.message.DeskInput
 import sniperoute.control.message.EntriesCommitted
@@ -18,6 +19,7 @@
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
 import sniperoute.process.duty.startStateDuty
+import sniperoute.process.identity.VmName
 import sniperoute.process.ring.Ring
 import sniperoute.process.timeline.Recorder
 import sniperoute.process.timeline.message.EventKind
@@ -53,7 +55,12 @@
     outlets.status.set(transition.state.toStatus(now))
     transition.orders.forEach { outlets.carryOut(it) }
     outlets.noteRedundancy(transition.state, now)
-    if (transition.state.log.membership != state.log.membership) outlets.members(transition.state.log.membership.everyone.map { it.vm })
+    if (transition.state.log.membership != state.log.membership) {
+        outlets.members(
+            transition.state.log.membership.everyone
+                .map { it.vm },
+        )
+    }
     transition.state
 }
 
@@ -75,8 +82,8 @@
     is Send -> send(order.to, order.message)
     is Broadcast -> broadcast(order.message)
     is MembersLearned -> learned(order.vms)
-    is Apply -> desk.put(EntriesCommitted(order.entries))
-    is Restore -> desk.put(SnapshotRestored(order.snapshot))
+    is Apply -> desk.put(committed(order.entries))
+    is Restore -> desk.put(restored(order.snapshot))
     is RefuseProposal -> desk.put(ProposalRefused(order.proposal, order.leader?.vm))
     is RoleChanged -> recorder.noteRole(order)
     is MembershipProposed -> recorder.record(EventKind.MEMBERSHIP_CHANGED, detail = order.membership.describe())
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
@@ -3,11 +3,11 @@
  */
 package sniperoute.control
 
-import sniperoute.common.GroupDiscovery
-import sniperoute.connection.http.serve
 import sniperoute.common.ExitStatus
+import sniperoute.common.GroupDiscovery
 import sniperoute.common.serverSettings
 import sniperoute.connection.http.HttpServer
+import sniperoute.connection.http.serve
 import sniperoute.connection.peer.SecretTrust
 import sniperoute.process.agreement.decision.foundingLog
 import sniperoute.process.clock.leaseClock
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -4,16 +4,14 @@
  */
 package sniperoute.control
 
-import kotlin.time.Duration.Companion.milliseconds
-import sniperoute.control.decision.AgreementStatus
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.common.GroupDiscovery
 import sniperoute.common.ListenAddress
 import sniperoute.common.Location
 import sniperoute.common.awaitStop
 import sniperoute.common.failTogether
-import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.EchoedId
+import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.endpointClient
 import sniperoute.connection.http.HttpServer
 import sniperoute.connection.http.HttpThreads
@@ -21,6 +19,8 @@
 import sniperoute.connection.peer.*
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.connection.peer.message.PeerRole
+import sniperoute.control.codec.restored
+import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.decision.FleetSettings
 import sniperoute.control.decision.newDeskState
 import sniperoute.control.message.DeskInput
@@ -45,6 +45,7 @@
 import sniperoute.process.timeline.startRecorder
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val AGREEMENT_RING = 8_192
 private const val STORAGE_RING = 8_192
@@ -156,12 +157,17 @@
     private val metrics = newMetricsRegistry()
 
     fun run() {
-        deskRing.put(SnapshotRestored(recovered.log.snapshot))
+        deskRing.put(restored(recovered.log.snapshot))
         startStorage()
         startAgreementDuty(agreementRing, initial, agreementOutlets(), clock, onFailure)
         val desk = startDesk()
         network.listen(name, parts.peers.host, parts.peers.port, parts.trust, links.handlers())
-        links.linkTo(others(recovered.log.membership.everyone.map { it.vm } + parts.discovery.seeds()))
+        links.linkTo(
+            others(
+                recovered.log.membership.everyone
+                    .map { it.vm } + parts.discovery.seeds(),
+            ),
+        )
         val server = serveOperators(desk)
         recorder.record(EventKind.PROCESS_READY, detail = "operators on port ${server.port}")
         awaitStop { stop(server, desk) }
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -3,15 +3,9 @@
  */
 package sniperoute.control
 
-import sniperoute.version.message.STORE_IS_DOWN
-import sniperoute.process.duty.Duty
-import sniperoute.connection.endpoint.message.OnCallEvent
-import sniperoute.connection.endpoint.collecting
-import sniperoute.version.decision.ReadEndpoint
-import sniperoute.version.decision.OrderOutcome
-import sniperoute.version.decision.OrderEndpoint
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.connection.endpoint.CallEndpoint
+import sniperoute.connection.endpoint.collecting
 import sniperoute.connection.endpoint.message.AnswerBegan
 import sniperoute.connection.endpoint.message.CallEvent
 import sniperoute.connection.endpoint.message.ContentCame
@@ -19,8 +13,10 @@
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
 import sniperoute.connection.endpoint.message.Failed
+import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.HttpStatus
+import sniperoute.control.codec.encode
 import sniperoute.control.codec.orderBody
 import sniperoute.control.codec.weightsIn
 import sniperoute.control.decision.AgreementStatus
@@ -31,12 +27,17 @@
 import sniperoute.process.agreement.decision.Propose
 import sniperoute.process.agreement.decision.SnapshotTaken
 import sniperoute.process.clock.Clock
+import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
 import sniperoute.process.duty.startStateDuty
 import sniperoute.process.ring.Ring
 import sniperoute.process.timeline.Recorder
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
+import sniperoute.version.decision.OrderEndpoint
+import sniperoute.version.decision.OrderOutcome
+import sniperoute.version.decision.ReadEndpoint
+import sniperoute.version.message.STORE_IS_DOWN
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -124,12 +125,13 @@
 
     /** A proposal that finds the ring full is refused, as one that finds no leader; blocking here could block the agreement. */
     private fun propose(order: ProposeCommand) {
-        if (!agreement.offer(Propose(order.proposal, order.bytes))) inbox.offer(ProposalRefused(order.proposal, null))
+        if (!agreement.offer(Propose(order.proposal, order.command.encode()))) inbox.offer(ProposalRefused(order.proposal, null))
     }
 
     private fun keep(order: KeepSnapshot) {
-        agreement.offer(SnapshotTaken(order.index, order.state))
-        recorder.record(EventKind.SNAPSHOT_WRITTEN, detail = "at entry ${order.index}, ${order.state.size} bytes")
+        val state = order.machine.encode()
+        agreement.offer(SnapshotTaken(order.index, state))
+        recorder.record(EventKind.SNAPSHOT_WRITTEN, detail = "at entry ${order.index}, ${state.size} bytes")
     }
 
     private fun ask(order: AskEndpoint) {
--- a/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
@@ -3,13 +3,13 @@
  */
 package sniperoute.control
 
-import sniperoute.version.message.StorePlace
 import sniperoute.common.ListEndpoints
 import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.version.decision.EndpointReport
 import sniperoute.version.decision.OrderEndpoint
 import sniperoute.version.decision.OrderOutcome
 import sniperoute.version.message.ListedEndpoint
+import sniperoute.version.message.StorePlace
 
 /** Reads what an endpoint reports of itself; [onReport] is told once, `null` when it gave no report. */
 public typealias ReadListedEndpoint = (endpoint: ListedEndpoint, onReport: (EndpointReport?) -> Unit) -> Unit
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -3,7 +3,6 @@
  */
 package sniperoute.control.decision
 
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -22,6 +21,7 @@
 import sniperoute.request.quarantine.decision.pardon
 import sniperoute.version.decision.*
 import sniperoute.version.message.*
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Everything that must survive. */
 public data class ControlState(
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -6,12 +6,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
-import sniperoute.control.codec.decodeCommand
-import sniperoute.control.codec.decodeControlState
-import sniperoute.control.codec.encode
 import sniperoute.control.message.*
-import sniperoute.process.agreement.message.CommandEntry
-import sniperoute.process.agreement.message.LogEntry
 import sniperoute.process.clock.Moment
 import sniperoute.process.identity.VmName
 import sniperoute.process.timeline.message.EventKind
@@ -90,26 +85,22 @@
 }
 
 private fun DeskState.restore(input: SnapshotRestored): DeskStep {
-    if (input.snapshot.state.isEmpty()) return copy(applied = input.snapshot.index).unchanged()
-    val machine = decodeControlState(input.snapshot.state)
-        .fold({ error("the snapshot at ${input.snapshot.index} holds no state: ${it.reason}") }, { it })
-    return copy(applied = input.snapshot.index, snapshotIndex = input.snapshot.index, machine = machine).unchanged()
+    val restored = input.machine ?: return copy(applied = input.index).unchanged()
+    return copy(applied = input.index, snapshotIndex = input.index, machine = restored).unchanged()
 }
 
 private fun DeskState.keepSnapshot(): DeskStep {
     if (applied - snapshotIndex < ENTRIES_BETWEEN_SNAPSHOTS) return unchanged()
-    return copy(snapshotIndex = applied).unchanged().order(KeepSnapshot(applied, machine.encode()))
+    return copy(snapshotIndex = applied).unchanged().order(KeepSnapshot(applied, machine))
 }
 
-private fun DeskState.applyEntry(entry: LogEntry, now: Moment): DeskStep {
+private fun DeskState.applyEntry(entry: CommittedEntry, now: Moment): DeskStep {
     if (entry.index <= applied) return unchanged()
-    val content = entry.content as? CommandEntry ?: return copy(applied = entry.index).unchanged()
-    val command = decodeCommand(content.bytes)
-        .fold({ error("entry ${entry.index} holds no command: ${it.reason}") }, { it })
+    val command = entry.command ?: return copy(applied = entry.index).unchanged()
     val outcome = machine.apply(command, entry.index)
     val before = machine.published.revision
     val next = copy(applied = entry.index, machine = outcome.state).noteEvents(command, outcome)
-    val answered = next.then { it.answerWaiter(content.proposal, outcome.result, now) }
+    val answered = next.then { it.answerWaiter(entry.proposal, outcome.result, now) }
     return if (outcome.state.published.revision > before) answered.then { it.notifyRouters() } else answered
 }
 
@@ -182,7 +173,7 @@
     return copy(nextProposal = proposal + 1)
         .lead { copy(waiters = waiters.put(proposal, waiter)) }
         .unchanged()
-        .order(ProposeCommand(proposal, command.encode()))
+        .order(ProposeCommand(proposal, command))
 }
 
 private fun DeskState.onOperator(input: OperatorCommanded, status: AgreementStatus, now: Moment): DeskStep =
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/DeskStates.kt
@@ -3,11 +3,6 @@
  */
 package sniperoute.control.decision
 
-import sniperoute.version.decision.noFleetWorks
-import sniperoute.version.decision.FleetWorks
-import sniperoute.version.decision.noWeightLoads
-import sniperoute.version.decision.WeightLoads
-import sniperoute.version.decision.FleetView
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -21,8 +16,13 @@
 import sniperoute.process.identity.VmName
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.FleetView
+import sniperoute.version.decision.FleetWorks
 import sniperoute.version.decision.Leases
 import sniperoute.version.decision.RouterName
+import sniperoute.version.decision.WeightLoads
+import sniperoute.version.decision.noFleetWorks
+import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -62,7 +62,8 @@
 internal fun DeskState.tendLoads(now: Moment, update: (WeightLoads) -> WeightLoads): DeskStep {
     val known = leadership ?: return unchanged()
     val step = update(known.loads).tend(machine.namedWeights(), machine::modelsOf, now)
-    val asked = step.actions.fold(lead { copy(loads = step.loads) }.unchanged()) { all, action -> all.order(AskEndpoint(action, known.term)) }
+    val next = lead { copy(loads = step.loads) }.unchanged()
+    val asked = step.actions.fold(next) { all, action -> all.order(AskEndpoint(action, known.term)) }
     return asked.then { it.publishFleet() }
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -3,14 +3,14 @@
  */
 package sniperoute.control.message
 
-import sniperoute.version.message.ModelName
-import sniperoute.version.decision.Numbering
 import kotlinx.serialization.Serializable
 import sniperoute.process.clock.Moment
 import sniperoute.process.codec.ItemList
 import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.decision.Numbering
 import sniperoute.version.message.Declarations
 import sniperoute.version.message.KeyDigest
+import sniperoute.version.message.ModelName
 import sniperoute.version.message.Move
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
--- a/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/DeskInputs.kt
@@ -3,26 +3,25 @@
  */
 package sniperoute.control.message
 
-import sniperoute.version.message.STORE_IS_DOWN
-import sniperoute.version.message.StorePlace
-import sniperoute.version.message.ServiceName
-import sniperoute.version.message.ListedEndpoint
-import sniperoute.version.decision.OrderOutcome
-import sniperoute.version.decision.LoadAction
-import sniperoute.version.decision.EndpointReport
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentList
 import sniperoute.control.decision.CommandResult
-import sniperoute.process.agreement.message.LogEntry
-import sniperoute.process.agreement.message.Snapshot
+import sniperoute.control.decision.ControlState
 import sniperoute.process.identity.VmName
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
 import sniperoute.request.ledger.message.LedgerReply
 import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.version.decision.EndpointReport
+import sniperoute.version.decision.LoadAction
+import sniperoute.version.decision.OrderOutcome
 import sniperoute.version.decision.RouterName
 import sniperoute.version.message.EndpointName
+import sniperoute.version.message.ListedEndpoint
+import sniperoute.version.message.STORE_IS_DOWN
+import sniperoute.version.message.ServiceName
 import sniperoute.version.message.SessionMessage
+import sniperoute.version.message.StorePlace
 import sniperoute.version.message.WeightsVersion
 
 /** The number of an open link to a router. */
@@ -39,11 +38,14 @@
 /** What the control duty takes in. */
 public sealed interface DeskInput
 
+/** An entry that was agreed on: a [command] under its proposer's number, or nothing for the desk. */
+public data class CommittedEntry(public val index: Long, public val proposal: Long, public val command: Command?)
+
 /** The agreement committed [entries]. */
-public data class EntriesCommitted(public val entries: PersistentList<LogEntry>) : DeskInput
+public data class EntriesCommitted(public val entries: PersistentList<CommittedEntry>) : DeskInput
 
-/** The agreement replaced the state by [snapshot]'s. */
-public data class SnapshotRestored(public val snapshot: Snapshot) : DeskInput
+/** The agreement replaced the state by the one as of [index]; a group that has just formed has no [machine] yet. */
+public data class SnapshotRestored(public val index: Long, public val machine: ControlState?) : DeskInput
 
 /** The agreement did not take [proposal]. */
 public data class ProposalRefused(public val proposal: Long, public val leader: VmName?) : DeskInput
@@ -82,8 +84,8 @@
 /** What the control duty orders. */
 public sealed interface DeskOrder
 
-/** Have [bytes] agreed on. */
-public class ProposeCommand(public val proposal: Long, public val bytes: ByteArray) : DeskOrder
+/** Have [command] agreed on. */
+public data class ProposeCommand(public val proposal: Long, public val command: Command) : DeskOrder
 
 /** Reply to a router about its session. */
 public data class ReplySession(public val to: ReplyAddress, public val message: SessionMessage) : DeskOrder
@@ -126,8 +128,8 @@
 /** Ask something of a listed endpoint; orders carry [fence]. */
 public data class AskEndpoint(public val action: LoadAction, public val fence: Long) : DeskOrder
 
-/** The state machine as of [index] is to be kept as a snapshot. */
-public class KeepSnapshot(public val index: Long, public val state: ByteArray) : DeskOrder
+/** The state [machine] as of [index] is to be kept as a snapshot. */
+public class KeepSnapshot(public val index: Long, public val machine: ControlState) : DeskOrder
 
 /** Note an event in the time line. */
 public data class NoteEvent(public val kind: EventKind, public val subject: EventSubject, public val detail: String) : DeskOrder
--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -4,10 +4,6 @@
  */
 package sniperoute.router
 
-import sniperoute.request.admission.decision.requestDigest
-import sniperoute.request.admission.decision.RequestTarget
-import sniperoute.request.run.codec.ownDialect
-import sniperoute.request.run.codec.jsonAnswerRules
 import arrow.core.Either
 import arrow.core.raise.either
 import kotlinx.collections.immutable.persistentListOf
@@ -22,8 +18,10 @@
 import sniperoute.request.admission.decision.Outcome
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.RequestTarget
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.admission.decision.admit
+import sniperoute.request.admission.decision.requestDigest
 import sniperoute.request.ledger.message.LedgerKey
 import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.prefix.codec.Prompt
@@ -37,6 +35,8 @@
 import sniperoute.request.run.PassedRequest
 import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RunOutlets
+import sniperoute.request.run.codec.jsonAnswerRules
+import sniperoute.request.run.codec.ownDialect
 import sniperoute.request.run.requestRun
 import sniperoute.version.codec.keyDigestOf
 import sniperoute.version.message.KeyDigest
@@ -62,7 +62,8 @@
     outlets: RunOutlets,
     now: Moment,
 ): Either<Refusal, RequestRun> = either {
-    val admission = view.admit(now, RequestTarget(exchange.head.path, null, contentHash(id.text.toByteArray())), exchange.head.keyOrNull()).bind()
+    val target = RequestTarget(exchange.head.path, null, contentHash(id.text.toByteArray()))
+    val admission = view.admit(now, target, exchange.head.keyOrNull()).bind()
     val prompt = promptOf(admission, exchange).bind()
     val facts = factsOf(admission, exchange, prompt, id, now)
     val passed = PassedRequest(
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -4,43 +4,29 @@
  */
 package sniperoute.router
 
-import sniperoute.request.admission.decision.RefusalKind
-import arrow.core.left
-import sniperoute.process.duty.Duty
-import kotlin.time.Duration
-import sniperoute.version.decision.Catalogue
-import sniperoute.router.decision.SessionSettings
-import sniperoute.request.run.message.Dialect
-import sniperoute.request.routing.decision.RoutingState
-import sniperoute.request.routing.decision.RoutingSettings
-import sniperoute.request.routing.decision.PlaceRequest
-import sniperoute.request.admission.decision.Refusal
-import sniperoute.process.timeline.message.EventSubject
-import sniperoute.process.ring.Ring
-import sniperoute.process.metrics.MetricsRegistry
-import sniperoute.process.duty.DutyFailure
-import sniperoute.connection.peer.LinkTrust
-import sniperoute.connection.http.TlsFiles
-import sniperoute.connection.http.RequestHead
-import sniperoute.connection.http.HttpThreads
-import sniperoute.connection.http.HttpLimits
-import sniperoute.connection.endpoint.EndpointClient
-import sniperoute.connection.endpoint.EchoedId
-import sniperoute.common.UnreadyReason
-import sniperoute.common.Location
-import sniperoute.common.ListenAddress
-import sniperoute.common.ListEndpoints
-import sniperoute.common.GroupDiscovery
 import arrow.core.Either
+import arrow.core.left
 import kotlinx.collections.immutable.toPersistentList
+import sniperoute.common.GroupDiscovery
+import sniperoute.common.ListEndpoints
+import sniperoute.common.ListenAddress
+import sniperoute.common.Location
+import sniperoute.common.UnreadyReason
 import sniperoute.common.awaitStop
 import sniperoute.common.failTogether
 import sniperoute.common.reply
+import sniperoute.connection.endpoint.EchoedId
+import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.endpointClient
 import sniperoute.connection.http.Exchange
+import sniperoute.connection.http.HttpLimits
 import sniperoute.connection.http.HttpServer
+import sniperoute.connection.http.HttpThreads
+import sniperoute.connection.http.RequestHead
+import sniperoute.connection.http.TlsFiles
 import sniperoute.connection.http.serve
 import sniperoute.connection.http.startHttpThreads
+import sniperoute.connection.peer.LinkTrust
 import sniperoute.connection.peer.dial
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.connection.peer.message.PeerRole
@@ -48,31 +34,45 @@
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Moment
 import sniperoute.process.clock.systemClock
+import sniperoute.process.duty.Duty
+import sniperoute.process.duty.DutyFailure
 import sniperoute.process.identity.newIncarnation
+import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.metrics.counter
 import sniperoute.process.metrics.gauge
 import sniperoute.process.metrics.newMetricsRegistry
 import sniperoute.process.metrics.secondsHistogram
 import sniperoute.process.metrics.watch
+import sniperoute.process.ring.Ring
 import sniperoute.process.ring.ring
 import sniperoute.process.timeline.Recorder
 import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
 import sniperoute.process.timeline.startRecorder
 import sniperoute.request.admission.decision.Outcome
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.admission.decision.isReady
 import sniperoute.request.ledger.message.LedgerOwner
+import sniperoute.request.routing.decision.PlaceRequest
+import sniperoute.request.routing.decision.RoutingSettings
+import sniperoute.request.routing.decision.RoutingState
 import sniperoute.request.routing.decision.newRoutingState
 import sniperoute.request.routing.message.RequestId
 import sniperoute.request.routing.message.RoutingInput
 import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RunOutlets
+import sniperoute.request.run.message.Dialect
+import sniperoute.router.decision.SessionSettings
 import sniperoute.router.decision.newControlSession
 import sniperoute.router.message.SessionInput
+import sniperoute.version.decision.Catalogue
 import sniperoute.version.decision.emptyCatalogue
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
@@ -243,8 +243,10 @@
     }
 
     private fun receive(exchange: Exchange) {
-        val id = parts.frontEnd.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.another() else it }
-        val run = if (isDraining.get()) draining.left() else parts.frontEnd.runOf(exchange, id, session.view.get(), ::ownerOf, outlets, clock())
+        val front = parts.frontEnd
+        val id = front.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.another() else it }
+        val view = session.view.get()
+        val run = if (isDraining.get()) draining.left() else front.runOf(exchange, id, view, ::ownerOf, outlets, clock())
         run.fold(
             ifLeft = { refusal ->
                 recorder.record(
@@ -280,7 +282,10 @@
         else -> null
     }
 
-    /** Unready first, then no new connections or requests, then out once every request has its answer; the session ends before its threads. */
+    /**
+     * Unready first, then no new connections or requests, then out once every request has its answer; the session ends before its
+     * threads.
+     */
     private fun stop(callers: HttpServer) {
         isStopping.set(true)
         recorder.record(EventKind.PROCESS_STOPPING, detail = "${runs.size} requests under way")
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -3,7 +3,6 @@
  */
 package sniperoute.router
 
-import sniperoute.request.routing.message.TellWork
 import sniperoute.process.clock.Clock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
@@ -16,10 +15,11 @@
 import sniperoute.request.routing.decision.newRoutingState
 import sniperoute.request.routing.decision.step
 import sniperoute.request.routing.message.*
+import sniperoute.request.routing.message.TellWork
 import sniperoute.request.run.RequestRun
 import sniperoute.router.message.EvidenceChanged
-import sniperoute.router.message.SessionInput
 import sniperoute.router.message.RoutingSaid
+import sniperoute.router.message.SessionInput
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.isRunning
 import sniperoute.version.decision.toReport
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -3,9 +3,6 @@
  */
 package sniperoute.router
 
-import sniperoute.request.routing.message.FleetWorked
-import sniperoute.request.routing.message.RoutersCounted
-import sniperoute.request.routing.message.FleetChanged
 import sniperoute.common.ListEndpoints
 import sniperoute.connection.peer.Dialing
 import sniperoute.connection.peer.PeerHandlers
@@ -27,6 +24,9 @@
 import sniperoute.request.ledger.message.LedgerNotHere
 import sniperoute.request.ledger.message.LedgerReply
 import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.request.routing.message.FleetChanged
+import sniperoute.request.routing.message.FleetWorked
+import sniperoute.request.routing.message.RoutersCounted
 import sniperoute.request.routing.message.RoutingInput
 import sniperoute.request.routing.message.ViewChanged
 import sniperoute.router.decision.ControlSession
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -4,11 +4,6 @@
  */
 package sniperoute.router.decision
 
-import sniperoute.version.decision.unknownFleet
-import sniperoute.version.decision.advanceOrNull
-import sniperoute.version.decision.FleetView
-import kotlin.time.Duration
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -16,6 +11,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.ServingView
@@ -24,9 +20,13 @@
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.routing.message.TokensGranted
 import sniperoute.router.message.*
+import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.advance
+import sniperoute.version.decision.advanceOrNull
 import sniperoute.version.decision.emptyCatalogue
+import sniperoute.version.decision.unknownFleet
 import sniperoute.version.message.*
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val RENEW_INTERVAL = 500.milliseconds
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -3,15 +3,15 @@
  */
 package sniperoute.router.message
 
-import sniperoute.version.message.FleetWork
-import sniperoute.version.message.ListedEndpoint
-import sniperoute.version.decision.FleetView
 import kotlinx.collections.immutable.ImmutableList
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.ledger.message.LedgerReply
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.routing.message.TokensGranted
+import sniperoute.version.decision.FleetView
+import sniperoute.version.message.FleetWork
+import sniperoute.version.message.ListedEndpoint
 import sniperoute.version.message.RouteEvidence
 import sniperoute.version.message.SessionMessage
 
--- a/programs/src/test/kotlin/sniperoute/programs/DeskTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/DeskTest.kt
@@ -11,8 +11,6 @@
 import sniperoute.control.decision.*
 import sniperoute.control.message.*
 import sniperoute.process.agreement.decision.Redundancy
-import sniperoute.process.agreement.message.CommandEntry
-import sniperoute.process.agreement.message.LogEntry
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.clock.Moment
 import sniperoute.process.identity.FailureDomain
@@ -65,7 +63,7 @@
     }
 
     fun commit(): List<DeskOrder> {
-        val entries = open.map { LogEntry(++committed, term, CommandEntry(it.proposal, it.bytes)) }
+        val entries = open.map { CommittedEntry(++committed, it.proposal, it.command) }
         open.clear()
         return if (entries.isEmpty()) emptyList() else input(EntriesCommitted(entries.toPersistentList()))
     }
--- a/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
@@ -48,6 +48,19 @@
         expectThat(offenders({ "/decision/" in it.path }, forbidden)).isEmpty()
     }
 
+    @Test
+    fun `decisions decode and encode nothing`() {
+        expectThat(offenders({ "/decision/" in it.path }, Regex("import sniperoute\\.[a-z.]*codec\\."))).isEmpty()
+    }
+
+    @Test
+    fun `the platform's words stand in its own folder only, and it decides nothing`() {
+        val words =
+            Regex("server-stamp|token-usage|request-priority|kv-(fetch|save|from|hold)|not-executed|expect-instance|weight-versions|/api/")
+        expectThat(offenders({ !it.path.startsWith("platform/") }, words)).isEmpty()
+        expectThat(sources.filter { it.path.startsWith("platform/") && "/decision/" in it.path }).isEmpty()
+    }
+
     @Test
     fun `what lives longer never names what lives shorter`() {
         val order = listOf("process", "version", "connection", "request")
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
@@ -24,8 +24,8 @@
 import sniperoute.request.prefix.decision.PIECE_TOKENS
 import sniperoute.request.prefix.decision.prefixChain
 import sniperoute.request.prefix.decision.workspaceSalt
-import sniperoute.request.run.message.Usage
 import sniperoute.request.run.codec.inspectJson
+import sniperoute.request.run.message.Usage
 import sniperoute.standin.engine.decision.emptyPieceCache
 import sniperoute.standin.engine.decision.heldPieces
 import sniperoute.standin.engine.decision.use
--- a/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
@@ -3,7 +3,6 @@
  */
 package sniperoute.request.admission.decision
 
-import sniperoute.version.decision.serviceFor
 import arrow.core.Either
 import arrow.core.raise.either
 import arrow.core.raise.ensure
@@ -11,6 +10,7 @@
 import sniperoute.process.clock.Moment
 import sniperoute.version.decision.Catalogue
 import sniperoute.version.decision.routeOrNull
+import sniperoute.version.decision.serviceFor
 import sniperoute.version.message.KeyDigest
 import sniperoute.version.message.Route
 import sniperoute.version.message.Service
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -0,0 +1,152 @@
+/**
+ * The endpoints that may get a request, by versions, weights and failures, and what speaks for and against each.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.isReady
+import sniperoute.request.prefix.decision.cacheKey
+import sniperoute.request.routing.message.AskTokens
+import sniperoute.request.routing.message.Dispatch
+import sniperoute.request.routing.message.GiveBackTokens
+import sniperoute.request.routing.message.GiveUp
+import sniperoute.request.routing.message.Refuse
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.version.decision.chosenWeightsOrNull
+import sniperoute.version.decision.currentWeightsOrNull
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.HeldParts
+import sniperoute.version.message.STORE_IS_DOWN
+import sniperoute.version.message.Service
+import sniperoute.version.message.ServiceKind
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.StorePlace
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.Workspace
+import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.isLimited
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal fun RoutingState.question(
+    service: Service,
+    facts: RequestFacts,
+    version: WeightsVersion?,
+    candidates: List<EndpointState>,
+    now: Moment,
+): PlacementQuestion {
+    val held = if (service.isListed) heldByWeights(facts, candidates, now) else heldPieces(facts, version, now)
+    val last = facts.chain.lastOrNull()
+    val sharing = if (last == null) 0 else running.values.count { it.facts.chain.lastOrNull() == last }
+    return PlacementQuestion(facts, candidates, held, sharing, sequence, handicaps = handicaps(facts, candidates, now))
+}
+
+private fun RoutingState.heldPieces(facts: RequestFacts, weights: WeightsVersion?, now: Moment): PersistentMap<EndpointName, Int> =
+    if (weights == null) persistentMapOf() else knowledge.heldPieces(facts.chain, weights, now)
+
+/** What each candidate holds under the weights that it serves itself. */
+private fun RoutingState.heldByWeights(
+    facts: RequestFacts,
+    candidates: List<EndpointState>,
+    now: Moment,
+): PersistentMap<EndpointName, Int> {
+    if (facts.chain.isEmpty()) return persistentMapOf()
+    return candidates.groupBy { it.weightsFor(facts.model) }.entries.fold(persistentMapOf()) { all, (weights, members) ->
+        val held = heldPieces(facts, weights, now)
+        members.mapNotNull { member -> held[member.endpoint.name]?.let { member.endpoint.name to it } }.fold(all) { map, (name, pieces) ->
+            map.put(name, pieces)
+        }
+    }
+}
+
+/** From this age of newer weights on, an answer by older ones is worth less to its caller. */
+private val WEIGHTS_PATIENCE = 1_200.milliseconds
+
+/** What serving older weights costs of expected time, before and after [WEIGHTS_PATIENCE]. */
+private val OLDER_WEIGHTS_COST = 20.milliseconds
+private val LATE_WEIGHTS_COST = 300.milliseconds
+
+/** What an endpoint costs of expected time for failing more often than the others of its service, at a difference of 1. */
+private val FAULTS_COST = 2.seconds
+
+/** Differences of failure rates below this are chance. */
+private const val USUAL_DIFFERENCE = 0.1
+
+private fun RoutingState.handicaps(
+    facts: RequestFacts,
+    candidates: List<EndpointState>,
+    now: Moment,
+): PersistentMap<EndpointName, Duration> {
+    val usual = candidates.minOfOrNull { it.faults } ?: 0.0
+    return candidates.fold(persistentMapOf()) { all, candidate ->
+        val excess = (candidate.faults - usual - USUAL_DIFFERENCE).coerceAtLeast(0.0)
+        val cost = FAULTS_COST * excess + weightsCost(facts, candidate, now)
+        if (cost.isPositive()) all.put(candidate.endpoint.name, cost) else all
+    }
+}
+
+private fun RoutingState.weightsCost(facts: RequestFacts, candidate: EndpointState, now: Moment): Duration {
+    val since = outdatedSinceOrNull(candidate, facts) ?: return Duration.ZERO
+    return if (now - since < WEIGHTS_PATIENCE) OLDER_WEIGHTS_COST else LATE_WEIGHTS_COST
+}
+
+/** Since when the endpoint's weights are not the newest, whatever was named after the first newer ones. */
+private fun RoutingState.outdatedSinceOrNull(endpoint: EndpointState, facts: RequestFacts): Moment? =
+    facts.model?.let { named[it] }?.outdatedSinceOrNull(endpoint.weightsNumber(facts))
+
+private fun EndpointState.weightsNumber(facts: RequestFacts): Long = weightsFor(facts.model)?.text?.toLongOrNull() ?: 0
+
+/**
+ * The versions that may serve a request: those it began with, or the ones its share gives; when nothing serves the new version
+ * any more, the old one. For a listed service they are releases of its software.
+ */
+internal fun RoutingState.versionsToTry(service: Service, facts: RequestFacts): List<WeightsVersion?> {
+    if (!service.isListed) {
+        if (service.kind == ServiceKind.PLAIN) return listOf(null)
+        retries[facts.id]?.weights?.let { return listOf(it) }
+    }
+    val chosen = view.catalogue.chosenWeightsOrNull(service, facts.hash)
+    val current = view.catalogue.currentWeightsOrNull(service)
+    val isChosenServed = endpoints.values.any { it.service == service.name && it.serves(service, chosen) && !it.isLeaving }
+    return if (chosen == current || isChosenServed) listOf(chosen) else listOf(chosen, current)
+}
+
+private fun EndpointState.serves(service: Service, wanted: WeightsVersion?): Boolean = when {
+    service.isListed -> wanted == null || release == wanted.text
+    else -> kind == ServiceKind.PLAIN || weights == wanted
+}
+
+internal fun RoutingState.candidates(service: Service, facts: RequestFacts, version: WeightsVersion?, now: Moment): List<EndpointState> {
+    val isSuspect = facts.digest in suspects
+    val names = if (service.isListed) members[service.name].orEmpty() else service.endpoints.map { it.name }
+    val usable = names
+        .mapNotNull { endpoints[it] }
+        .filter { it.servesNow(service, version, this) && it.isUsable(now) && !isOutdated(it, facts, now) }
+        .filter { !isSuspect || it.own.values.none(OwnWork::isSuspect) }
+    val failedAt = retries[facts.id]?.failedAt ?: return usable
+    return usable.filter { it.endpoint.name !in failedAt }.ifEmpty { usable }
+}
+
+/** Whether the endpoint's weights are so old that no request may begin on them. */
+internal fun RoutingState.isOutdated(endpoint: EndpointState, facts: RequestFacts, now: Moment): Boolean {
+    val limit = settings.weightsLimit ?: return false
+    val since = outdatedSinceOrNull(endpoint, facts) ?: return false
+    return now - since > limit
+}
+
+/** Whether an endpoint serves [version]; one that has said nothing yet is taken to serve what it is assigned. */
+private fun EndpointState.servesNow(service: Service, version: WeightsVersion?, state: RoutingState): Boolean {
+    if (service.isListed) return serves(service, version)
+    if (kind == ServiceKind.PLAIN) return true
+    val assigned = state.view.catalogue.moves[service.name]
+        ?.assigned
+        ?.get(endpoint.name) ?: service.weights
+    return (this.weights ?: assigned) == version
+}
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -123,7 +123,10 @@
 public fun EndpointState.finished(id: RequestId): EndpointState = copy(own = own.remove(id))
 
 /** Returns the endpoint after it did not take a request at [now]: whatever filled it may be over soon. */
-public fun EndpointState.rejected(now: Moment): EndpointState = copy(rejections = rejections + 1, downUntil = maxOf(downUntil, now + REJECTION_REST * (1 shl minOf(rejections, MOST_DOUBLINGS))))
+public fun EndpointState.rejected(now: Moment): EndpointState {
+    val rest = REJECTION_REST * (1 shl minOf(rejections, MOST_DOUBLINGS))
+    return copy(rejections = rejections + 1, downUntil = maxOf(downUntil, now + rest))
+}
 
 private val REJECTION_REST = 100.milliseconds
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
@@ -50,8 +50,9 @@
 private fun RoutingState.relisted(fleetEndpoint: FleetEndpoint): EndpointState {
     val listed = fleetEndpoint.listed
     val service = view.catalogue.services.getValue(listed.service)
-    val known = endpoints[listed.endpoint.name]?.takeIf { it.incarnation == listed.incarnation }
-        ?: EndpointState(listed.endpoint, service.name, service.kind, incarnation = listed.incarnation, diedAt = lastDeath(listed.endpoint.name))
+    val name = listed.endpoint.name
+    val known = endpoints[name]?.takeIf { it.incarnation == listed.incarnation }
+        ?: EndpointState(listed.endpoint, service.name, service.kind, incarnation = listed.incarnation, diedAt = lastDeath(name))
     return known.copy(
         endpoint = listed.endpoint,
         release = listed.release,
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -3,8 +3,8 @@
  */
 package sniperoute.request.routing.decision
 
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
@@ -28,9 +28,6 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.DurationUnit
 
-/** Endpoints that may turn a request away beside those that run it. */
-private const val MOST_REJECTIONS = 2
-
 private val SUSPICION_LIFE = 10.minutes
 private val DEADLINE_CHECK_INTERVAL: Duration = 50.milliseconds
 
@@ -75,7 +72,8 @@
 private fun RoutingState.accrueAlone(now: Moment): RoutingState {
     val since = controlHeard + CONTROL_PATIENCE
     if (!isAlone(now)) return this
-    val limited = view.catalogue.workspaces.values.filter { it.isLimited }
+    val limited = view.catalogue.workspaces.values
+        .filter { it.isLimited }
     val pools = limited.fold(tokens) { all, workspace ->
         all.accrue(workspace.name, workspace.tokensPerSecond.toDouble() / routers, workspace.burstTokens / routers, since, now)
     }
@@ -108,7 +106,7 @@
     return copy(queues = queues.put(facts.service, queue), budgets = budgets.put(facts.service, budget)).drain(facts.service, place, now)
 }
 
-private fun RoutingState.budgetOf(service: ServiceName): RetryBudget = budgets[service] ?: fullRetryBudget()
+internal fun RoutingState.budgetOf(service: ServiceName): RetryBudget = budgets[service] ?: fullRetryBudget()
 
 private val RETRY_SOON = 1_000.milliseconds
 
@@ -143,7 +141,9 @@
         val weights = signs.weights
         val served = if (model == null || weights == null) endpoint.modelWeights else endpoint.modelWeights.put(model, weights)
         val waiting = (signs.waiting ?: 0) * TOKENS_OF_WAITING
-        val report = signs.running?.let { LoadReport(now, it + (signs.waiting ?: 0), waiting, endpoint.own.size, endpoint.ownWaitingTokens()) }
+        val report = signs.running?.let { running ->
+            LoadReport(now, running + (signs.waiting ?: 0), waiting, endpoint.own.size, endpoint.ownWaitingTokens())
+        }
         endpoint.copy(modelWeights = served, report = if (endpoint.hasSharedReport(now)) endpoint.report else report ?: endpoint.report)
     }
 }
@@ -224,45 +224,6 @@
     return copy(suspects = digests.fold(suspects) { all, digest -> all.put(digest, now) }).unchanged().order(report)
 }
 
-private fun RoutingState.retryOrGiveUp(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
-    val id = run.facts.id
-    val facts = run.facts
-    val isFree = result.reach.isNotRun
-    val runs = (retries[id]?.runs ?: 0) + if (isFree) 0 else 1
-    val isAllowed = isFree || (result.mayRepeat && facts.route.repetition == Repetition.REPEATABLE)
-    val hasAttempts = runs < facts.route.mostEndpoints && run.attempt < facts.route.mostEndpoints + MOST_REJECTIONS
-    val mayTry = isAllowed && hasAttempts && !isSecondDeath(run, result) && now < facts.deadline
-    val budget = budgetOf(facts.service)
-    val spent = if (result.reach == Reach.NOT_RUN) budget else budget.spendOrNull(now, settings.retries, routers)
-    if (!mayTry || spent == null) return giveUp(run, result, now)
-    val note = RetryNote(
-        attempts = run.attempt,
-        failedAt = (retries[id]?.failedAt ?: noFailures()).add(run.endpoint),
-        weights = if (isFree && retries[id] == null) null else run.weights,
-        runs = runs,
-        until = minOf(facts.deadline, now + (facts.queueUntil - facts.arrived)),
-    )
-    val weight = facts.workspace?.let { view.catalogue.workspaces[it] }?.tokensPerSecond ?: 1
-    val queue = queueOf(facts.service).addFirst(Waiting(facts, weight))
-    return copy(
-        budgets = budgets.put(facts.service, spent),
-        retries = retries.put(id, note),
-        queues = queues.put(facts.service, queue),
-    ).unchanged()
-}
-
-/** A request that no endpoint ran costs its workspace nothing. */
-private fun RoutingState.giveUp(run: RunningRequest, result: Unanswered, now: Moment): RoutingStep {
-    val facts = run.facts
-    val isNotRun = result.reach.isNotRun && (retries[facts.id]?.runs ?: 0) == 0
-    val refunded = if (isNotRun && facts.workspace != null) tokens.settle(facts.workspace, facts.tokens, now) else tokens
-    return copy(retries = retries.remove(facts.id), tokens = refunded).unchanged().order(GiveUp(facts.id, result.reason))
-}
-
-/** Whether this attempt broke like an earlier one that is suspected of an endpoint's death. */
-private fun RoutingState.isSecondDeath(run: RunningRequest, result: Unanswered): Boolean =
-    result.reach == Reach.BROKEN && run.facts.id in retries && run.facts.digest in suspects
-
 private fun RoutingState.onViewChanged(newView: ServingView, place: PlaceRequest, now: Moment): RoutingStep {
     val changed = newView.catalogue.revision != view.catalogue.revision
     val next = copy(view = newView, controlHeard = now).withNamedWeights(now)
@@ -271,7 +232,8 @@
 }
 
 private fun RoutingState.withNamedWeights(now: Moment): RoutingState {
-    val newer = view.catalogue.weights.values.filter { it.number > (named[it.model]?.lastOrNull()?.number ?: 0) }
+    val newer = view.catalogue.weights.values
+        .filter { it.number > (named[it.model]?.lastOrNull()?.number ?: 0) }
     return copy(
         named = newer.fold(named) { all, weights ->
             all.put(weights.model, (all[weights.model] ?: persistentListOf()).with(NamedWeights(weights.number, now)))
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/SharedWork.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/SharedWork.kt
@@ -40,5 +40,6 @@
         val report = LoadReport(now, total.running, total.waitingTokens, own?.running ?: 0, own?.waitingTokens ?: 0)
         state.withEndpoint(total.endpoint) { it.copy(report = report, isReportShared = true) }
     }
-    return input.message.held.fold(loaded) { state, parts -> state.copy(knowledge = state.knowledge.learn(parts.endpoint, parts.keys, now)) }
+    val known = input.message.held.fold(loaded.knowledge) { all, parts -> all.learn(parts.endpoint, parts.keys, now) }
+    return loaded.copy(knowledge = known)
 }
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Transfers.kt
@@ -0,0 +1,83 @@
+/**
+ * What a request fetches from and leaves in a store of cached parts, and what is known to be cached after it.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.isReady
+import sniperoute.request.prefix.decision.cacheKey
+import sniperoute.request.routing.message.AskTokens
+import sniperoute.request.routing.message.Dispatch
+import sniperoute.request.routing.message.GiveBackTokens
+import sniperoute.request.routing.message.GiveUp
+import sniperoute.request.routing.message.Refuse
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.version.decision.chosenWeightsOrNull
+import sniperoute.version.decision.currentWeightsOrNull
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.HeldParts
+import sniperoute.version.message.STORE_IS_DOWN
+import sniperoute.version.message.Service
+import sniperoute.version.message.ServiceKind
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.StorePlace
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.Workspace
+import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.isLimited
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What a request has to do with the [store] of cached parts. */
+internal data class Transfer(val store: StorePlace?, val name: EndpointName?, val isStored: Boolean)
+
+/** Shared parts shorter than this are computed sooner than fetched. */
+private const val SHORTEST_TRANSFER_TOKENS = 64L
+
+/**
+ * Parts that an endpoint lacks may come from the store: it knows itself what it lacks, so it is always told where they are. What
+ * the store is not known to hold goes there. The last part of a prompt is the request's own.
+ */
+internal fun RoutingState.transfer(facts: RequestFacts, target: Target, now: Moment): Transfer {
+    val service = view.catalogue.services.values
+        .firstOrNull { it.store != null && fleet.stores[it.name] != STORE_IS_DOWN }
+    val weights = target.weights
+    val shared = facts.tokensOf(facts.chain.size - 1)
+    val none = Transfer(null, null, isStored = false)
+    if (service == null || weights == null || shared < SHORTEST_TRANSFER_TOKENS) return none
+    val name = EndpointName(service.name.text)
+    val links = facts.chain.dropLast(1)
+    val stored = facts.tokensOf(knowledge.heldAt(name, links, weights, now))
+    return Transfer(service.store, name, isStored = shared > stored)
+}
+
+/** What a request computes will be cached where it runs; the engine's events and counts correct this. */
+internal fun RoutingState.expectCached(facts: RequestFacts, target: Target, transfer: Transfer, now: Moment): RoutingState {
+    val weights = target.weights ?: return this
+    if (facts.chain.isEmpty()) return this
+    val here = target.placement.endpoint
+    val keys = facts.chain.cacheKeys(weights)
+    val shared = keys.dropLast(1)
+    val store = transfer.name?.takeIf { transfer.isStored }
+    val news = listOfNotNull(
+        HeldParts(here, shared.toPersistentList()).takeIf { target.heldLinks < shared.size },
+        store?.let { HeldParts(it, shared.toPersistentList()) },
+    )
+    val known = knowledge.learn(here, keys, now)
+    return copy(
+        knowledge = if (store == null) known else known.learn(store, shared, now),
+        newlyHeld = if (service(facts)?.isListed == true) newlyHeld.addAll(news) else newlyHeld,
+    )
+}
+
+private fun RoutingState.service(facts: RequestFacts): Service? = view.catalogue.services[facts.service]
+
+internal fun List<Long>.cacheKeys(weights: WeightsVersion): List<Long> =
+    map { cacheKey(it, weights) }
--- /dev/null
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/WaitingRequests.kt
@@ -0,0 +1,119 @@
+/**
+ * Requests that wait here: the tokens that they need, and why one is refused in time.
+ */
+package sniperoute.request.routing.decision
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import sniperoute.process.clock.Moment
+import sniperoute.request.admission.decision.Refusal
+import sniperoute.request.admission.decision.RefusalKind
+import sniperoute.request.admission.decision.isReady
+import sniperoute.request.prefix.decision.cacheKey
+import sniperoute.request.routing.message.AskTokens
+import sniperoute.request.routing.message.Dispatch
+import sniperoute.request.routing.message.GiveBackTokens
+import sniperoute.request.routing.message.GiveUp
+import sniperoute.request.routing.message.Refuse
+import sniperoute.request.routing.message.RequestFacts
+import sniperoute.request.routing.message.RequestId
+import sniperoute.version.decision.chosenWeightsOrNull
+import sniperoute.version.decision.currentWeightsOrNull
+import sniperoute.version.message.EndpointName
+import sniperoute.version.message.HeldParts
+import sniperoute.version.message.STORE_IS_DOWN
+import sniperoute.version.message.Service
+import sniperoute.version.message.ServiceKind
+import sniperoute.version.message.ServiceName
+import sniperoute.version.message.StorePlace
+import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.Workspace
+import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.isLimited
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns the state after asking for the tokens that requests of [service] wait for. */
+internal fun RoutingState.balanceWaiting(service: ServiceName, now: Moment): RoutingStep =
+    queueOf(service)
+        .all()
+        .filter { it.facts.id !in retries }
+        .mapNotNull { it.facts.workspace }
+        .distinct()
+        .filter { view.catalogue.workspaces[it]?.isLimited ?: false }
+        .fold(unchanged()) { step, workspace -> step.then { it.balance(workspace, now) } }
+
+/** Returns the state after [workspace] asked for or gave back tokens, as it needs; nobody hears a router on its own. */
+internal fun RoutingState.balance(workspace: WorkspaceName, now: Moment): RoutingStep {
+    if (isAlone(now)) return unchanged()
+    val waiting = queues.values.sumOf { it.tokensWaiting(workspace) }
+    val change = tokens.balance(workspace, waiting, now)
+    val next = copy(tokens = change.pools).unchanged()
+    return when {
+        change.ask > 0 -> next.order(AskTokens(workspace, change.ask))
+        change.giveBack > 0 -> next.order(GiveBackTokens(workspace, change.giveBack))
+        else -> next
+    }
+}
+
+/** Returns the state without the waiting requests that can't be served any more, each refused as not run. */
+internal fun RoutingState.refuseWaiting(now: Moment): RoutingStep =
+    queues.keys.fold(unchanged()) { step, service -> step.then { it.refuseWaiting(service, now) } }
+
+private fun RoutingState.refuseWaiting(service: ServiceName, now: Moment): RoutingStep {
+    val refused = queueOf(service).all().mapNotNull { waiting ->
+        refusalOrNull(waiting.facts, now)?.let { waiting.facts.id to it }
+    }
+    if (refused.isEmpty()) return unchanged()
+    val ids = refused.map { it.first }.toSet()
+    val next = copy(
+        queues = queues.put(service, queueOf(service).without(ids)),
+        retries = ids.fold(retries) { all, id -> all.remove(id) },
+    )
+    return refused.fold(next.unchanged()) { step, (id, refusal) -> step.order(refuse(id, refusal)) }
+}
+
+private fun RoutingState.refuse(id: RequestId, refusal: Refusal) =
+    if (id in retries) {
+        GiveUp(id, refusal.message)
+    } else {
+        Refuse(id, refusal)
+    }
+
+/** Returns why a waiting request must be refused at [now], or `null` while it may wait. */
+private fun RoutingState.refusalOrNull(facts: RequestFacts, now: Moment): Refusal? {
+    val workspace = facts.workspace
+    return when {
+        facts.digest in view.catalogue.quarantine -> quarantined()
+        !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
+        facts.key != null && facts.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
+        now < (retries[facts.id]?.until ?: facts.queueUntil) -> null
+        workspace != null && !hasTokens(facts, now) ->
+            Refusal(RefusalKind.OVER_RATE, overRate(workspace, facts, now), retryAfter = retryAfter(facts))
+        facts.queueUntil < facts.deadline -> Refusal(RefusalKind.OVERLOADED, overload(facts, now), retryAfter = retryAfter(facts))
+        else -> Refusal(RefusalKind.DEADLINE, "no endpoint was free within the route's deadline")
+    }
+}
+
+/** For people: which endpoints there were, and why none of them took the request. */
+private fun RoutingState.overload(facts: RequestFacts, now: Moment): String {
+    val known = members[facts.service].orEmpty().mapNotNull { endpoints[it] }
+    val usable = known.filter { it.isUsable(now) && !isOutdated(it, facts, now) }
+    val shortest = usable.minOfOrNull { it.tokenCost * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
+    return "no endpoint was free in time: ${usable.size} of ${known.size} usable, ${known.count { it.isChanging }} change their weights, " +
+        "shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
+}
+
+private fun RoutingState.overRate(workspace: WorkspaceName, facts: RequestFacts, now: Moment): String {
+    val pool = tokens.poolOf(workspace)
+    return "workspace $workspace is over its rate: ${facts.tokens} tokens wanted, ${pool.available} here, ${pool.asked} asked for " +
+        "${(now - pool.askedAt).inWholeMilliseconds} ms ago"
+}
+
+/** A request may come again after about as long as it was held here. */
+private fun retryAfter(facts: RequestFacts): Duration = facts.queueUntil - facts.arrived
+
+internal fun quarantined(): Refusal =
+    Refusal(RefusalKind.QUARANTINED, "this request is held back: endpoints died while they worked on it")
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -25,7 +25,8 @@
 /**
  * A request that was admitted. [chain] holds one hash for each whole piece of the prompt, each covering the pieces before
  * it; [partTokens] are the tokens up to each of them, where pieces differ. [promptTokens] and [answerTokens] are upper
- * estimates, and [charge] is what counts against the allowance; [hash] spreads requests over shares, and those with the same [subject] belong together. It may wait here until
+ * estimates, and [charge] is what counts against the allowance; [hash] spreads requests over shares, and those with the same
+ * [subject] belong together. It may wait here until
  * [queueUntil]; requests of a lower [rank] go first.
  */
 public data class RequestFacts(
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -3,18 +3,18 @@
  */
 package sniperoute.request.routing.message
 
-import sniperoute.version.message.WorkNote
-import sniperoute.version.message.FleetWork
 import kotlinx.collections.immutable.PersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.ServingView
+import sniperoute.version.decision.FleetView
 import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
-import sniperoute.version.decision.FleetView
+import sniperoute.version.message.FleetWork
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.StorePlace
 import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.WorkNote
 import sniperoute.version.message.WorkspaceName
 import kotlin.time.Duration
 
--- a/request/src/main/kotlin/sniperoute/request/run/codec/Usages.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/Usages.kt
@@ -3,11 +3,11 @@
  */
 package sniperoute.request.run.codec
 
-import sniperoute.request.run.message.Usage
 import com.fasterxml.jackson.core.JsonFactory
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
+import sniperoute.request.run.message.Usage
 
 /** What was found in a JSON text: whether it is one object, and its usage, if any. */
 public data class JsonFinding(public val isObject: Boolean, public val usage: Usage?)
--- a/version/src/main/kotlin/sniperoute/version/decision/DeclarationChecks.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/DeclarationChecks.kt
@@ -52,13 +52,15 @@
     DeclarationProblem("route \"$name\"", "its weights add up to 0", "a weight above 0")
         .takeIf { shares.isNotEmpty() && shares.sumOf { it.weight.toLong() } <= 0 },
     DeclarationProblem("route \"$name\"", "a weight is negative", "weights from 0 on").takeIf { shares.any { it.weight < 0 } },
-    DeclarationProblem("route \"$name\"", "its deadline is $deadlineMilliseconds ms", "more than 0 ms").takeIf { deadlineMilliseconds <= 0 },
+    DeclarationProblem("route \"$name\"", "its deadline is $deadlineMilliseconds ms", "more than 0 ms")
+        .takeIf { deadlineMilliseconds <= 0 },
 )
 
 private fun Service.problems(): List<DeclarationProblem> {
     val subject = "service \"$name\""
     return listOfNotNull(
-        DeclarationProblem(subject, "it has no endpoint", "at least one endpoint").takeIf { endpoints.isEmpty() && !isListed && store == null },
+        DeclarationProblem(subject, "it has no endpoint", "at least one endpoint")
+            .takeIf { endpoints.isEmpty() && !isListed && store == null },
         DeclarationProblem(subject, "a model without weights", "\"weights\"")
             .takeIf { kind == ServiceKind.MODEL && weights == null && !isListed },
         DeclarationProblem(subject, "a plain service with weights or a move", "neither")
--- a/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
@@ -3,14 +3,14 @@
  */
 package sniperoute.version.decision
 
-import kotlinx.collections.immutable.toPersistentMap
-import sniperoute.version.message.ServiceName
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
 import sniperoute.version.message.FleetNotice
+import sniperoute.version.message.ServiceName
 
 /** The endpoints, and the runs of the stores, at view [number]; numbers grow, over changes of the leader too. */
 public data class FleetView(
@@ -36,7 +36,9 @@
     number = number,
     follows = older.number,
     changed = endpoints.values.filter { older.endpoints[it.name] != it }.toPersistentList(),
-    gone = older.endpoints.keys.filter { it !in endpoints }.toPersistentList(),
+    gone = older.endpoints.keys
+        .filter { it !in endpoints }
+        .toPersistentList(),
     stores = stores,
 )
 
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -143,7 +143,10 @@
     if (report == null || (report.incarnation != null && report.incarnation != known.listed.incarnation)) {
         known.copy(count = null, open = known.open?.takeIf { report == null && now - it.planned < LOAD_PATIENCE })
     } else {
-        known.copy(weights = report.weights, count = report.count, isBusy = report.isBusy, running = report.running).settled().withoutLost(now)
+        known
+            .copy(weights = report.weights, count = report.count, isBusy = report.isBusy, running = report.running)
+            .settled()
+            .withoutLost(now)
     }
 }
 
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -3,11 +3,11 @@
  */
 package sniperoute.version.message
 
-import kotlinx.collections.immutable.persistentMapOf
-import sniperoute.process.codec.ItemMap
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.Serializable
 import sniperoute.process.codec.ItemList
+import sniperoute.process.codec.ItemMap
 import sniperoute.process.identity.VmName
 
 /** A message of the session, in either direction. */
--- a/version/src/test/kotlin/sniperoute/version/FleetTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/FleetTest.kt
@@ -48,7 +48,9 @@
                 repeat(60) {
                     val number = random.nextInt(6)
                     val name = EndpointName("e$number")
-                    val endpoints = if (random.nextInt(4) == 0) leader.endpoints.remove(name) else leader.endpoints.put(name, endpoint(number, random.nextLong(3)))
+                    val isGone = random.nextInt(4) == 0
+                    val changed = leader.endpoints.put(name, endpoint(number, random.nextLong(3)))
+                    val endpoints = if (isGone) leader.endpoints.remove(name) else changed
                     val next = leader.next(endpoints, leader.stores.put(ServiceName("store"), random.nextLong(2)))
                     val notice = next.noticeSince(leader)
                     leader = next
@@ -109,7 +111,7 @@
     private fun observation(since: Moment, new: EvidenceSum = noEvidence()) = MoveObservation(
         since,
         persistentMapOf(),
-        persistentListOf(RouteComparison(RouteName("r"), noEvidence().let { sum -> (1..50).fold(sum) { all, _ -> all.addAnswer(10.0) } }, new)),
+        persistentListOf(RouteComparison(RouteName("r"), (1..50).fold(noEvidence()) { all, _ -> all.addAnswer(10.0) }, new)),
     )
 
     @Test
--- a/version/src/test/kotlin/sniperoute/version/WeightLoadsTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/WeightLoadsTest.kt
@@ -38,7 +38,8 @@
     mapOf(model to weights).toImmutableMap(),
 )
 
-private fun report(weights: Long, count: Long, isBusy: Boolean = false) = EndpointReport("1", persistentMapOf(model to weights), count, isBusy)
+private fun report(weights: Long, count: Long, isBusy: Boolean = false) =
+    EndpointReport("1", persistentMapOf(model to weights), count, isBusy)
 
 /** An endpoint that takes orders as the platform says: the count must fit, one order at a time. */
 private class PlayedEndpoint(var weights: Long = 1) {
@@ -77,14 +78,20 @@
     @Test
     fun `the endpoints furthest behind load first`() {
         val planned = tend(known(3, 1, 2, 3), 4, start).loads
-        expectThat(planned.endpoints.values.filter { it.open != null }.map { it.listed.endpoint.name.text }.sorted()).isEqualTo(listOf("e1", "e2"))
+        val chosen = planned.endpoints.values
+            .filter { it.open != null }
+            .map { it.listed.endpoint.name.text }
+        expectThat(chosen.sorted()).isEqualTo(listOf("e1", "e2"))
     }
 
     @Test
     fun `routers have time to leave an endpoint alone before it is ordered`() {
         val planned = tend(known(1, 1), 2, start)
         expectThat(planned.actions).isEmpty()
-        expectThat(planned.loads.endpoints.values.count { it.open != null }).isEqualTo(1)
+        expectThat(
+            planned.loads.endpoints.values
+                .count { it.open != null },
+        ).isEqualTo(1)
         expectThat(tend(planned.loads, 2, start + 50.milliseconds).actions.filterIsInstance<OrderEndpoint>()).hasSize(1)
     }
 
@@ -92,16 +99,28 @@
     fun `an order without answer is sent again under the same count, so that only one of them is taken`() {
         val planned = tend(known(1, 1), 2, start).loads
         val first = tend(planned, 2, start + 50.milliseconds)
-        val name = first.actions.filterIsInstance<OrderEndpoint>().single().listed.endpoint.name
+        val name = first.actions
+            .filterIsInstance<OrderEndpoint>()
+            .single()
+            .listed.endpoint.name
         val lost = first.loads.ordered(name, 2, OrderOutcome.LOST, start + 900.milliseconds)
         val again = tend(lost, 2, start + 2.seconds).actions.filterIsInstance<OrderEndpoint>().single()
-        expectThat(again.count).isEqualTo(first.actions.filterIsInstance<OrderEndpoint>().single().count)
+        expectThat(again.count).isEqualTo(
+            first.actions
+                .filterIsInstance<OrderEndpoint>()
+                .single()
+                .count,
+        )
     }
 
     @Test
     fun `a leader whose order met a higher fence orders nothing more`() {
         val fenced = known(1, 1, 1).ordered(EndpointName("e0"), 2, OrderOutcome.FENCED, start)
-        expectThat(tend(fenced, 2, start + 10.seconds).loads.endpoints.values.count { it.open != null }).isEqualTo(0)
+        expectThat(
+            tend(fenced, 2, start + 10.seconds)
+                .loads.endpoints.values
+                .count { it.open != null },
+        ).isEqualTo(0)
     }
 
     @Test
@@ -112,7 +131,11 @@
         val reported = read.loads
             .reported(EndpointName("e0"), report(1, 4, isBusy = true), start)
             .reported(EndpointName("e1"), report(1, 2), start)
-        expectThat(tend(reported, 2, start + 1.seconds).loads.endpoints.values.count { it.open != null }).isEqualTo(0)
+        expectThat(
+            tend(reported, 2, start + 1.seconds)
+                .loads.endpoints.values
+                .count { it.open != null },
+        ).isEqualTo(0)
         val due = tend(reported, 2, start + 3.seconds).loads.endpoints
         expectThat(due.filterValues { it.open != null }.keys.map { it.text }).isEqualTo(listOf("e1"))
     }
