--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/http/ConnectionHeaders.kt
@@ -0,0 +1,31 @@
+/**
+ * Headers that concern one connection only, and are never passed on to another.
+ *
+ * Source: RFC 9110, section 7.6.1.
+ */
+package sniperoute.connection.http
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+private const val CONNECTION = "connection"
+
+private val connectionHeaders = setOf(
+    CONNECTION,
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+)
+
+/** Returns these headers without those of their connection, and those that its `connection` header names. */
+public fun ImmutableList<Header>.withoutConnectionHeaders(): ImmutableList<Header> {
+    val named = filter { it.name == CONNECTION }.flatMap { it.value.lowercase().split(',') }.map { it.trim() }
+    return filter { it.name !in connectionHeaders && it.name !in named }.toImmutableList()
+}
--- a/request/src/main/kotlin/sniperoute/request/run/codec/OwnDialects.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/OwnDialects.kt
@@ -10,6 +10,7 @@
 import sniperoute.connection.http.codec.OUTCOME_HEADER
 import sniperoute.connection.http.codec.WholeAnswer
 import sniperoute.connection.http.codec.errorAnswer
+import sniperoute.connection.http.withoutConnectionHeaders
 import sniperoute.request.admission.decision.Outcome
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.routing.message.RequestFacts
@@ -20,25 +21,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-private val NEVER_PASSED = setOf(
-    "authorization",
-    "x-api-key",
-    "proxy-authorization",
-    "cookie",
-    "host",
-    "connection",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    "x-request-id",
-    "last-event-id",
-)
-
-private val NEVER_RETURNED = setOf("connection", "keep-alive", "transfer-encoding", "content-length", "x-request-id", "trailer", "upgrade")
+/** A caller's keys go no further, and what the router says itself to an endpoint is not taken from a caller. */
+private val NEVER_PASSED = setOf("authorization", "x-api-key", "cookie", "host", "x-request-id", "last-event-id")
 
 private val SHORTEST_WAIT = 10.milliseconds
 
@@ -54,7 +38,11 @@
 
 private fun requestHeaders(request: OutgoingRequest): ImmutableList<Header> = buildList {
     val weights = request.dispatch.weights
-    addAll(request.head.headers.filter { it.name !in NEVER_PASSED })
+    addAll(
+        request.head.headers
+            .withoutConnectionHeaders()
+            .filter { it.name !in NEVER_PASSED },
+    )
     add(Header("x-priority", request.facts.requestClass.text))
     if (weights != null) {
         add(Header("x-weights-version", weights.text))
@@ -64,7 +52,7 @@
 }.toImmutableList()
 
 private fun answerHeaders(head: AnswerHead, id: RequestId, outcome: Outcome?): ImmutableList<Header> {
-    val passed = head.headers.filter { it.name !in NEVER_RETURNED } + Header("x-request-id", id.text)
+    val passed = head.headers.withoutConnectionHeaders().filter { it.name != "x-request-id" } + Header("x-request-id", id.text)
     return (if (outcome == null) passed else passed + Header(OUTCOME_HEADER, outcome.text)).toImmutableList()
 }
 
