--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -7,9 +7,7 @@
 import sniperoute.control.codec.restored
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.message.DeskInput
-import sniperoute.control.message.EntriesCommitted
 import sniperoute.control.message.ProposalRefused
-import sniperoute.control.message.SnapshotRestored
 import sniperoute.process.agreement.decision.*
 import sniperoute.process.agreement.message.AgreementMessage
 import sniperoute.process.agreement.message.Membership
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -24,7 +24,6 @@
 import sniperoute.control.decision.FleetSettings
 import sniperoute.control.decision.newDeskState
 import sniperoute.control.message.DeskInput
-import sniperoute.control.message.SnapshotRestored
 import sniperoute.process.agreement.decision.*
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.agreement.message.ReplicaIdentity
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -4,15 +4,9 @@
 package sniperoute.control
 
 import kotlinx.collections.immutable.persistentListOf
-import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.connection.endpoint.collecting
-import sniperoute.connection.endpoint.message.AnswerBegan
-import sniperoute.connection.endpoint.message.CallEvent
-import sniperoute.connection.endpoint.message.ContentCame
-import sniperoute.connection.endpoint.message.Ended
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
-import sniperoute.connection.endpoint.message.Failed
 import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.HttpStatus
--- a/programs/operator/src/main/kotlin/sniperoute/operator/TimelineCommands.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/TimelineCommands.kt
@@ -4,7 +4,6 @@
 package sniperoute.operator
 
 import kotlinx.serialization.builtins.ListSerializer
-import sniperoute.common.AdministrationClient
 import sniperoute.common.ExitStatus
 import sniperoute.common.administrationClient
 import sniperoute.common.administrationJson
--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -7,15 +7,11 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import kotlinx.collections.immutable.persistentListOf
-import sniperoute.common.reply
 import sniperoute.connection.http.Exchange
-import sniperoute.connection.http.Header
 import sniperoute.connection.http.RequestHead
-import sniperoute.connection.http.codec.errorAnswer
 import sniperoute.connection.http.valueOrNull
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Admission
-import sniperoute.request.admission.decision.Outcome
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.RequestTarget
@@ -41,7 +37,6 @@
 import sniperoute.version.codec.keyDigestOf
 import sniperoute.version.message.KeyDigest
 import sniperoute.version.message.Repetition
-import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceKind
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -12,10 +12,8 @@
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.routing.decision.PlaceRequest
 import sniperoute.request.routing.decision.RoutingState
-import sniperoute.request.routing.decision.newRoutingState
 import sniperoute.request.routing.decision.step
 import sniperoute.request.routing.message.*
-import sniperoute.request.routing.message.TellWork
 import sniperoute.request.run.RequestRun
 import sniperoute.router.message.EvidenceChanged
 import sniperoute.router.message.RoutingSaid
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -28,7 +28,6 @@
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private class SessionDriver {
     val replicas = persistentListOf(VmName("c1"), VmName("c2"), VmName("c3"))
--- a/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
@@ -74,6 +74,18 @@
         }
     }
 
+    @Test
+    fun `every import is used`() {
+        val statement = Regex("^import ([\\w.]+)$", RegexOption.MULTILINE)
+        val operators = setOf("plus", "minus", "times", "div", "getValue", "setValue")
+        val unused = sources.flatMap { source ->
+            val names = statement.findAll(source.text).map { it.groupValues[1].substringAfterLast('.') }
+            val words = Regex("\\w+").findAll(source.text.replace(statement, "")).map { it.value }.toSet()
+            names.filter { it !in words && it !in operators }.map { "${source.path}: $it" }
+        }
+        expectThat(unused).isEmpty()
+    }
+
     @Test
     fun `no wait spins`() {
         val spinning = Regex("onSpinWait|BusySpin|YieldingWaitStrategy|Thread\\.yield|parkNanos\\(1")
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -10,7 +10,6 @@
 import sniperoute.request.prefix.decision.rendezvousWeight
 import sniperoute.request.routing.message.RequestFacts
 import sniperoute.version.message.EndpointName
-import sniperoute.version.message.WeightsVersion
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
@@ -3,30 +3,9 @@
  */
 package sniperoute.request.routing.decision
 
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
-import sniperoute.request.admission.decision.Refusal
-import sniperoute.request.admission.decision.RefusalKind
-import sniperoute.request.admission.decision.ServingView
-import sniperoute.request.admission.decision.isReady
 import sniperoute.request.routing.message.*
-import sniperoute.version.decision.EvidenceKey
-import sniperoute.version.decision.EvidenceSum
-import sniperoute.version.decision.FleetView
-import sniperoute.version.decision.addAnswer
-import sniperoute.version.decision.addFailure
-import sniperoute.version.decision.noEvidence
-import sniperoute.version.message.EndpointName
 import sniperoute.version.message.Repetition
-import sniperoute.version.message.RequestDigest
-import sniperoute.version.message.ServiceName
-import sniperoute.version.message.isLimited
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.minutes
-import kotlin.time.DurationUnit
 
 /** Endpoints that may turn a request away beside those that run it. */
 private const val MOST_REJECTIONS = 2
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -19,7 +19,6 @@
 import sniperoute.version.decision.addFailure
 import sniperoute.version.decision.noEvidence
 import sniperoute.version.message.EndpointName
-import sniperoute.version.message.Repetition
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.isLimited
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/WaitingRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/WaitingRequests.kt
@@ -3,37 +3,20 @@
  */
 package sniperoute.request.routing.decision
 
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.isReady
-import sniperoute.request.prefix.decision.cacheKey
 import sniperoute.request.routing.message.AskTokens
-import sniperoute.request.routing.message.Dispatch
 import sniperoute.request.routing.message.GiveBackTokens
 import sniperoute.request.routing.message.GiveUp
 import sniperoute.request.routing.message.Refuse
 import sniperoute.request.routing.message.RequestFacts
 import sniperoute.request.routing.message.RequestId
-import sniperoute.version.decision.chosenWeightsOrNull
-import sniperoute.version.decision.currentWeightsOrNull
-import sniperoute.version.message.EndpointName
-import sniperoute.version.message.HeldParts
-import sniperoute.version.message.STORE_IS_DOWN
-import sniperoute.version.message.Service
-import sniperoute.version.message.ServiceKind
 import sniperoute.version.message.ServiceName
-import sniperoute.version.message.StorePlace
-import sniperoute.version.message.WeightsVersion
-import sniperoute.version.message.Workspace
 import sniperoute.version.message.WorkspaceName
 import sniperoute.version.message.isLimited
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Returns the state after asking for the tokens that requests of [service] wait for. */
 internal fun RoutingState.balanceWaiting(service: ServiceName, now: Moment): RoutingStep =
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -4,7 +4,6 @@
 package sniperoute.request.routing.message
 
 import kotlinx.collections.immutable.PersistentList
-import sniperoute.process.clock.Moment
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.version.decision.FleetView
--- a/version/src/main/kotlin/sniperoute/version/message/Published.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/Published.kt
@@ -6,7 +6,6 @@
 
 import kotlinx.serialization.Serializable
 import sniperoute.process.clock.Moment
-import sniperoute.process.codec.ItemList
 import sniperoute.process.codec.ItemMap
 
 /** What an item is. */
