Compare the fleet with the last one only when something changed

The leader built the view of all listed endpoints anew at every tick and at every report, 20 times a second and more, to find that nothing differed.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -64,7 +64,7 @@
     val step = update(known.loads).tend(machine.namedWeights(), machine::modelsOf, now)
     val next = lead { copy(loads = step.loads) }.unchanged()
     val asked = step.actions.fold(next) { all, action -> all.order(AskEndpoint(action, known.term)) }
-    return asked.then { it.publishFleet() }
+    return if (step.loads === known.loads) asked else asked.then { it.publishFleet() }
 }
 
 internal fun DeskState.publishFleet(): DeskStep {
