Simplify the plan of loads and the choice of a replaced voter

The number of a service's endpoints was passed beside their names; the replaced voter was chosen by two conditions that excluded each other. The comment on calls named a header that front ends set. No decision changed.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -13,9 +13,8 @@
 public data class EndpointAddress(public val host: String, public val port: Int)
 
 /**
- * A call. An answer that names a request in its `x-request-id` header must name [requestId], unless that is `null`.
- * When nothing comes for [gap] the connection is taken
- * for silent. A call on a [fresh] connection never uses one that served before.
+ * A call. An answer that names a request must name [requestId], unless that is `null`. When nothing comes for [gap] the connection
+ * is taken for silent. A call on a [fresh] connection never uses one that served before.
  */
 public class EndpointCall(
     public val address: EndpointAddress,
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Memberships.kt
@@ -61,8 +61,11 @@
 private fun AgreementState.nextMembershipOrNull(leader: Leader, learner: ReplicaIdentity, now: Moment): Membership? {
     val membership = log.membership
     val predecessor = membership.voters.firstOrNull { it.vm == learner.vm }
-    val replaced = predecessor?.takeIf { isSilent(leader, it, settings.electionMaximum, now) }
-        ?: membership.voters.firstOrNull { isSilent(leader, it, settings.replaceAfter, now) }.takeIf { predecessor == null }
+    val replaced = if (predecessor == null) {
+        membership.voters.firstOrNull { isSilent(leader, it, settings.replaceAfter, now) }
+    } else {
+        predecessor.takeIf { isSilent(leader, it, settings.electionMaximum, now) }
+    }
     return when {
         predecessor == null && membership.voters.size < maxOf(settings.wantedVoters, settings.voterVms.size) ->
             Membership((membership.voters + learner).toPersistentList(), (membership.learners - learner).toPersistentList())
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -184,19 +184,19 @@
         .entries
         .fold(LoadStep(this, emptyList())) { step, (service, members) ->
             val wanted = modelsOf(service).mapNotNull { named[it] }
-            if (wanted.isEmpty()) step else step.tendService(members.size, members.map { it.listed.endpoint.name }, wanted, now)
+            if (wanted.isEmpty()) step else step.tendService(members.map { it.listed.endpoint.name }, wanted, now)
         }
 
-private fun LoadStep.tendService(size: Int, names: List<EndpointName>, wanted: List<ModelWeights>, now: Moment): LoadStep {
-    val planned = loads.plan(size, names, wanted, now)
+private fun LoadStep.tendService(names: List<EndpointName>, wanted: List<ModelWeights>, now: Moment): LoadStep {
+    val planned = loads.plan(names, wanted, now)
     return names.sorted().fold(LoadStep(planned, actions)) { step, name -> step.tendEndpoint(name, wanted, now) }
 }
 
 /** Chooses the endpoints that load next, while there is room for more loads. */
-private fun WeightLoads.plan(size: Int, names: List<EndpointName>, wanted: List<ModelWeights>, now: Moment): WeightLoads {
+private fun WeightLoads.plan(names: List<EndpointName>, wanted: List<ModelWeights>, now: Moment): WeightLoads {
     if (now < ordersFrom) return this
     val members = names.mapNotNull { endpoints[it] }
-    val room = mostOpen(size) - members.count { it.open != null }
+    val room = mostOpen(names.size) - members.count { it.open != null }
     return members
         .filter { it.open == null && it.count != null && !it.isBusy && !it.listed.isLeaving && it.lacksOrNull(wanted) != null }
         .sortedWith(compareBy({ it.oldestOf(wanted) }, { it.running }, { it.listed.endpoint.name }))
