Say once what a request counts for, shares and meets

RequestFacts had its tokens under two names; the workspace of a request was looked up in four places, the number of weights read in two, the shared part of a prompt counted in two, a rest doubled in two; the wait behind others was summed twice for each candidate of a placement. A test names the field by its one name; its figure and its assertions are as they were. No decision changed.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -42,9 +42,7 @@
     if (facts.chain.isEmpty()) return persistentMapOf()
     return candidates.groupBy { it.weightsFor(facts.model) }.entries.fold(persistentMapOf()) { all, (weights, members) ->
         val held = heldPieces(facts, weights, now)
-        members.mapNotNull { member -> held[member.endpoint.name]?.let { member.endpoint.name to it } }.fold(all) { map, (name, pieces) ->
-            map.put(name, pieces)
-        }
+        members.map { it.endpoint.name }.fold(all) { known, name -> held[name]?.let { known.put(name, it) } ?: known }
     }
 }
 
@@ -81,9 +79,7 @@
 
 /** Since when the endpoint's weights are not the newest, whatever was named after the first newer ones. */
 private fun RoutingState.outdatedSinceOrNull(endpoint: EndpointState, facts: RequestFacts): Moment? =
-    facts.model?.let { named[it] }?.outdatedSinceOrNull(endpoint.weightsNumber(facts))
-
-private fun EndpointState.weightsNumber(facts: RequestFacts): Long = weightsFor(facts.model)?.text?.toLongOrNull() ?: 0
+    facts.model?.let { named[it] }?.outdatedSinceOrNull(endpoint.weightsNumber(facts.model))
 
 /**
  * The versions that may serve a request: those it began with, or the ones its share gives; when nothing serves the new version
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -43,7 +43,7 @@
 internal data class Target(val placement: Placement, val weights: WeightsVersion?, val candidates: Int, val heldLinks: Int)
 
 internal fun RoutingState.hasTokens(facts: RequestFacts, now: Moment): Boolean {
-    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
+    val workspace = workspaceOrNull(facts)
     if (workspace == null || !workspace.isLimited || facts.id in retries) return true
     return tokens.poolOf(workspace.name).available >= neededTokens(workspace, facts, now)
 }
@@ -70,7 +70,7 @@
     val missed = target.placement.missedTokens
     val endpoint = endpoints.getValue(name)
     val work = OwnWork(facts.digest, missed, endpoint.waitingTokens(now) + missed, hasBegun = false, isSuspect = facts.digest in suspects)
-    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }?.takeIf { note == null && it.isLimited }
+    val workspace = workspaceOrNull(facts)?.takeIf { note == null && it.isLimited }
     val paid = if (workspace == null) tokens else tokens.spend(workspace.name, facts.tokens, now, neededTokens(workspace, facts, now))
     val transfer = transfer(facts, target, now)
     val release = endpoint.release?.let(::WeightsVersion)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -73,6 +73,9 @@
 /** Returns the weights that a request for [model] meets here, or `null` when they are not known or there are none. */
 public fun EndpointState.weightsFor(model: ModelName?): WeightsVersion? = if (model == null) weights else modelWeights[model]
 
+/** Returns the number of the weights that a request for [model] meets here; 0 is below any, and stands for those not known. */
+public fun EndpointState.weightsNumber(model: ModelName?): Long = weightsFor(model)?.text?.toLongOrNull() ?: 0
+
 /** The time to compute one prompt token, before any answer shows it. */
 public val FIRST_TOKEN_COST: Duration = 50.microseconds
 
@@ -124,12 +127,14 @@
 
 /** Returns the endpoint after it did not take a request at [now]: whatever filled it may be over soon. */
 public fun EndpointState.rejected(now: Moment): EndpointState {
-    val rest = REJECTION_REST * (1 shl minOf(rejections, MOST_DOUBLINGS))
+    val rest = REJECTION_REST.doubled(rejections)
     return copy(rejections = rejections + 1, downUntil = maxOf(downUntil, now + rest))
 }
 
 private val REJECTION_REST = 100.milliseconds
 
+private fun Duration.doubled(times: Int): Duration = this * (1 shl minOf(times, MOST_DOUBLINGS))
+
 private const val FAULT_WEIGHT = 0.1
 
 /** Returns the endpoint after a complete answer that was a fault, or none when [isFault] is `false`. */
@@ -138,7 +143,7 @@
 
 /** Returns the endpoint after a call failed at [now]; it rests, longer with each failure in a row. */
 public fun EndpointState.failed(now: Moment): EndpointState {
-    val rest = SHORTEST_DOWN * (1 shl minOf(failures, MOST_DOUBLINGS))
+    val rest = SHORTEST_DOWN.doubled(failures)
     return copy(failures = failures + 1, downUntil = now + minOf(rest, LONGEST_DOWN))
 }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
@@ -58,15 +58,14 @@
         release = listed.release,
         isLeaving = listed.isLeaving,
         isChanging = fleetEndpoint.isChanging,
-        modelWeights = known.modelWeights.newest(fleetEndpoint.weights),
+        modelWeights = known.newestWeights(fleetEndpoint.weights),
     )
 }
 
 private fun RoutingState.lastDeath(name: EndpointName): Moment = endpoints[name]?.diedAt ?: Moment.EARLIEST
 
 /** What an answer said may be newer than the leader's view, never older weights than that. */
-private fun PersistentMap<ModelName, WeightsVersion>.newest(told: Map<ModelName, Long>): PersistentMap<ModelName, WeightsVersion> =
-    told.entries.fold(this) { all, (model, number) ->
-        val known = all[model]?.text?.toLongOrNull() ?: 0
-        if (number > known) all.put(model, WeightsVersion(number.toString())) else all
+private fun EndpointState.newestWeights(told: Map<ModelName, Long>): PersistentMap<ModelName, WeightsVersion> =
+    told.entries.fold(modelWeights) { all, (model, number) ->
+        if (number > weightsNumber(model)) all.put(model, WeightsVersion(number.toString())) else all
     }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -103,12 +103,13 @@
     now: Moment,
 ): Expectation {
     val missed = missedTokens(candidate)
-    val counted = if (isHome) facts.promptTokens - facts.tokensOf(facts.chain.size - 1) else missed
-    val computing = candidate.tokenCost * (candidate.waitingTokens(now) + counted * recomputeWeight)
+    val counted = if (isHome) facts.promptTokens - facts.sharedTokens else missed
+    val waiting = candidate.waitingTokens(now)
+    val computing = candidate.tokenCost * (waiting + counted * recomputeWeight)
+    val queueing = candidate.tokenCost * waiting.toDouble()
     val name = candidate.endpoint.name
     val handicap = handicaps[name] ?: Duration.ZERO
     val steps = ((computing + candidate.batchCost(now) + handicap) / EQUAL_TIMES).toLong()
-    val queueing = candidate.tokenCost * candidate.waitingTokens(now).toDouble()
     return Expectation(Placement(name, missed), steps, rendezvousWeight(subject, name.text), candidate.freeSlots(now) > 0, queueing)
 }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
@@ -25,7 +25,7 @@
         runs = runs,
         until = minOf(facts.deadline, now + (facts.queueUntil - facts.arrived)),
     )
-    val weight = facts.workspace?.let { view.catalogue.workspaces[it] }?.tokensPerSecond ?: 1
+    val weight = workspaceOrNull(facts)?.tokensPerSecond ?: 1
     val queue = queueOf(facts.service).addFirst(Waiting(facts, weight))
     return copy(
         budgets = budgets.put(facts.service, spent),
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -93,7 +93,7 @@
     if (!view.isReady(now)) {
         return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.NOT_READY, "this router has no lease")))
     }
-    val workspace = facts.workspace?.let { view.catalogue.workspaces[it] }
+    val workspace = workspaceOrNull(facts)
     if (workspace != null && workspace.isLimited && facts.tokens > workspace.burstTokens) {
         val message = "the request may use ${facts.tokens} tokens, more than the burst of ${workspace.burstTokens}"
         return unchanged().order(Refuse(facts.id, Refusal(RefusalKind.OVER_RATE, message)))
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -26,6 +26,7 @@
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
+import sniperoute.version.message.Workspace
 import kotlin.time.Duration
 
 /** A request that is in work at [endpoint], in its attempt number [attempt]; [release] is the version of a listed endpoint's software. */
@@ -115,6 +116,9 @@
     settings = settings,
 )
 
+/** Returns the workspace that a request counts for, or `null` when it has none or that is not in force. */
+internal fun RoutingState.workspaceOrNull(facts: RequestFacts): Workspace? = facts.workspace?.let { view.catalogue.workspaces[it] }
+
 /** A state and what was ordered on the way to it. */
 public data class RoutingStep(public val state: RoutingState, public val orders: PersistentList<RoutingOrder> = persistentListOf())
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Transfers.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Transfers.kt
@@ -28,7 +28,7 @@
     val service = view.catalogue.services.values
         .firstOrNull { it.store != null && fleet.stores[it.name] != STORE_IS_DOWN }
     val weights = target.weights
-    val shared = facts.tokensOf(facts.chain.size - 1)
+    val shared = facts.sharedTokens
     val none = Transfer(null, null, isStored = false)
     if (service == null || weights == null || shared < SHORTEST_TRANSFER_TOKENS) return none
     val name = EndpointName(service.name.text)
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -25,7 +25,7 @@
 /**
  * A request that was admitted. [chain] holds one hash for each whole piece of the prompt, each covering the pieces before
  * it; [partTokens] are the tokens up to each of them, where pieces differ. [promptTokens] and [answerTokens] are upper
- * estimates, and [charge] is what counts against the allowance; [hash] spreads requests over shares, and those with the same
+ * estimates, and [tokens] is what counts against the workspace's rate; [hash] spreads requests over shares, and those with the same
  * [subject] belong together. It may wait here until
  * [queueUntil]; requests of a lower [rank] go first.
  */
@@ -47,10 +47,10 @@
     public val subject: Long = chain.firstOrNull() ?: hash,
     public val rank: Int = route.urgency,
     public val queueUntil: Moment = deadline,
-    public val charge: Long = promptTokens + answerTokens,
+    public val tokens: Long = promptTokens + answerTokens,
 ) {
-    /** What the request may use of its workspace's rate, in tokens. */
-    public val tokens: Long get() = charge
+    /** The tokens of the parts that other prompts may share: all but the last, which is the request's own. */
+    public val sharedTokens: Long get() = tokensOf(chain.size - 1)
 
     /** Returns the tokens of the first [links] parts of the prompt. */
     public fun tokensOf(links: Int): Long = when {
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -263,7 +263,7 @@
         var sent = 0L
         repeat(400) { number ->
             router.now += 50.milliseconds
-            val facts = listedFacts("$number", router.now, number.toLong()).copy(workspace = limited, charge = 9_000)
+            val facts = listedFacts("$number", router.now, number.toLong()).copy(workspace = limited, tokens = 9_000)
             val orders = router.input(null) + router.input(Arrived(facts))
             orders.filterIsInstance<Dispatch>().forEach {
                 sent += 9_000
