Keep links, take requests and find a fixed group by one piece each

Routers and control replicas kept their links open by the same two functions, written twice: Dialings serves both. The seeds are read once at a router's start, not twice. An option of control replicas and a member of their office that nothing used are gone. Requests, answers and logs are as they were.

--- a/programs/common/src/main/kotlin/sniperoute/common/Groups.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Groups.kt
@@ -11,5 +11,14 @@
 /** How the control group is found: the VMs that are known at first, read anew at each call, and their addresses. */
 public class GroupDiscovery(public val seeds: () -> List<VmName>, public val addressOf: (VmName) -> PeerAddress?)
 
+/** Returns the discovery of a group whose [replicas] are all known from the start. */
+public fun fixedDiscovery(replicas: List<PeerAddress>): GroupDiscovery = GroupDiscovery(
+    seeds = { replicas.map { it.vm } },
+    addressOf = { wanted -> replicas.firstOrNull { it.vm == wanted } },
+)
+
 /** Reads the platform's list; [onListed] is told once, `null` when it could not be read. */
 public typealias ListEndpoints = (onListed: (ImmutableList<ListedEndpoint>?) -> Unit) -> Unit
+
+/** The list where there is none to read. */
+public val noList: ListEndpoints = { onListed -> onListed(null) }
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -4,7 +4,7 @@
  */
 package sniperoute.control
 
-import sniperoute.connection.peer.Dialing
+import sniperoute.connection.peer.DialVm
 import sniperoute.connection.peer.LinkRefused
 import sniperoute.connection.peer.PeerHandlers
 import sniperoute.connection.peer.PeerLink
@@ -12,6 +12,7 @@
 import sniperoute.connection.peer.message.EnvelopeChannel
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.connection.peer.message.PeerRole
+import sniperoute.connection.peer.noDialings
 import sniperoute.control.message.DeskInput
 import sniperoute.control.message.LedgerReceived
 import sniperoute.control.message.LinkNumber
@@ -43,32 +44,23 @@
  * that this replica dialed, or else over one that the other dialed.
  */
 internal class ControlLinks(
-    private val dial: (VmName, PeerHandlers) -> Dialing?,
+    dial: DialVm,
     private val agreement: Ring<AgreementInput>,
     private val desk: Ring<DeskInput>,
     private val recorder: Recorder,
 ) {
     private val replicas = ConcurrentHashMap<VmName, PeerLink>()
     private val callingReplicas = ConcurrentHashMap<VmName, PeerLink>()
-    private val dialings = ConcurrentHashMap<VmName, Dialing>()
     private val routers = ConcurrentHashMap<LinkNumber, PeerLink>()
     private val numbers = ConcurrentHashMap<PeerLink, LinkNumber>()
     private val lastNumber = AtomicLong()
 
+    /** The links to other replicas that this one keeps open. */
+    val dialings = noDialings(dial, dialerHandlers())
+
     /** Handlers of the links that others dialed: routers ask here, replicas send what they have for this one. */
     fun handlers(): PeerHandlers = PeerHandlers(::accepted, ::received, ::closed, ::refused)
 
-    /** Keeps links open to the replicas on [vms], and to no others. */
-    fun linkTo(vms: Collection<VmName>) {
-        dialings.keys.filter { it !in vms }.forEach { dialings.remove(it)?.stop() }
-        alsoLinkTo(vms)
-    }
-
-    /** Keeps links open to the replicas on [vms] as well. */
-    fun alsoLinkTo(vms: Collection<VmName>) {
-        vms.filter { !dialings.containsKey(it) }.forEach { vm -> dial(vm, dialerHandlers())?.let { dialings[vm] = it } }
-    }
-
     /** Handlers of the links that this replica dialed. */
     private fun dialerHandlers(): PeerHandlers = PeerHandlers(
         opened = { link ->
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
@@ -4,7 +4,7 @@
 package sniperoute.control
 
 import sniperoute.common.ExitStatus
-import sniperoute.common.GroupDiscovery
+import sniperoute.common.fixedDiscovery
 import sniperoute.common.serverSettings
 import sniperoute.connection.http.HttpServer
 import sniperoute.connection.http.serve
@@ -51,10 +51,7 @@
         peers = peers,
         agreement = agreement,
         trust = SecretTrust(own) { secretOrNull(secretsFile, it) },
-        discovery = GroupDiscovery(
-            seeds = { replicas.map { it.vm } },
-            addressOf = { wanted -> replicas.firstOrNull { it.vm == wanted } },
-        ),
+        discovery = fixedDiscovery(replicas),
         clock = leaseClock(),
         timelineEvents = timelineEvents,
         httpThreads = HTTP_THREADS,
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -10,7 +10,6 @@
 import sniperoute.common.Location
 import sniperoute.common.awaitStop
 import sniperoute.common.failTogether
-import sniperoute.connection.endpoint.EchoedId
 import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.endpointClient
 import sniperoute.connection.http.HttpServer
@@ -56,7 +55,6 @@
 /** What operators' pages are made of. */
 public class OperatorOffice internal constructor(
     public val threads: HttpThreads,
-    public val client: EndpointClient,
     public val desk: DeskDuty,
     public val metrics: MetricsRegistry,
     public val recorder: Recorder,
@@ -82,7 +80,6 @@
     public val httpThreads: Int,
     public val founding: List<VmName> = emptyList(),
     public val fleet: FleetSettings = FleetSettings(),
-    public val echo: EchoedId = EchoedId(),
     public val openEndpoints: OpenEndpointOffice = { client, _ -> EndpointOffice(client::call) },
     public val serveOperators: ServeOperators,
 )
@@ -141,7 +138,7 @@
     private val onFailure = failTogether(recorder)
     private val network = newPeerNetwork()
     private val httpThreads = startHttpThreads(parts.httpThreads)
-    private val client = endpointClient(httpThreads, clock, parts.echo)
+    private val client = endpointClient(httpThreads, clock)
     private val links = ControlLinks(::dial, agreementRing, deskRing, recorder)
     private val initial = recoveredAgreement(
         self = identity,
@@ -161,7 +158,7 @@
         startAgreementDuty(agreementRing, initial, agreementOutlets(), clock, onFailure)
         val desk = startDesk()
         network.listen(name, parts.peers.host, parts.peers.port, parts.trust, links.handlers())
-        links.linkTo(
+        links.dialings.linkTo(
             others(
                 recovered.log.membership.everyone
                     .map { it.vm } + parts.discovery.seeds(),
@@ -208,11 +205,11 @@
         desk = deskRing,
         send = links::sendAgreement,
         broadcast = { message ->
-            links.alsoLinkTo(others(parts.discovery.seeds()))
+            links.dialings.alsoLinkTo(others(parts.discovery.seeds()))
             links.broadcastAgreement(message)
         },
-        members = { vms -> links.linkTo(others(vms)) },
-        learned = { vms -> links.alsoLinkTo(others(vms)) },
+        members = { vms -> links.dialings.linkTo(others(vms)) },
+        learned = { vms -> links.dialings.alsoLinkTo(others(vms)) },
         status = status,
         recorder = recorder,
     )
@@ -228,6 +225,6 @@
         metrics.gauge("sniperoute_agreement_term", "The agreement's term.") { status.get().term.toDouble() }
         metrics.gauge("sniperoute_agreement_committed", "The last committed entry.") { status.get().committed.toDouble() }
         metrics.gauge("sniperoute_agreement_leads", "1 when this replica leads.") { if (status.get().isLeader) 1.0 else 0.0 }
-        return parts.serveOperators(OperatorOffice(httpThreads, client, desk, metrics, recorder, clock))
+        return parts.serveOperators(OperatorOffice(httpThreads, desk, metrics, recorder, clock))
     }
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
@@ -4,6 +4,7 @@
 package sniperoute.control
 
 import sniperoute.common.ListEndpoints
+import sniperoute.common.noList
 import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.version.decision.EndpointReport
 import sniperoute.version.decision.OrderEndpoint
@@ -23,7 +24,7 @@
 /** The calls of a control replica to endpoints; [list], [read] and [order] serve listed services, [call] the declared ones. */
 public class EndpointOffice(
     public val call: CallEndpoint,
-    public val list: ListEndpoints = { it(null) },
+    public val list: ListEndpoints = noList,
     public val read: ReadListedEndpoint = { _, onReport -> onReport(null) },
     public val order: OrderListedEndpoint = { _, _, onOutcome -> onOutcome(OrderOutcome.LOST) },
     public val readStore: ReadStoreRun = { _, onRun -> onRun(null) },
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
@@ -4,8 +4,9 @@
  */
 package sniperoute.router
 
-import sniperoute.common.GroupDiscovery
 import sniperoute.common.commonPageOrNull
+import sniperoute.common.fixedDiscovery
+import sniperoute.common.noList
 import sniperoute.common.openPages
 import sniperoute.common.operatorOrNull
 import sniperoute.common.reply
@@ -36,16 +37,13 @@
     location = location,
     callers = callers,
     tls = tls,
-    discovery = GroupDiscovery(
-        seeds = { replicas.map { it.vm } },
-        addressOf = { wanted -> replicas.firstOrNull { it.vm == wanted } },
-    ),
+    discovery = fixedDiscovery(replicas),
     trust = SecretTrust(secret) { null },
     frontEnd = ownFrontEnd(),
     placement = placement,
     routing = RoutingSettings(),
     session = SessionSettings(),
-    listEndpoints = { _, _ -> { onListed -> onListed(null) } },
+    listEndpoints = { _, _ -> noList },
     watchEndpoints = { client, routing, recorder, onFailure ->
         val inbox = ring<WatchInput>("watch", WATCH_RING)
         val platform = platformList?.let { EndpointAddress(it.host, it.port) }
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -4,7 +4,6 @@
  */
 package sniperoute.router
 
-import arrow.core.Either
 import arrow.core.left
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.common.GroupDiscovery
@@ -36,6 +35,7 @@
 import sniperoute.process.clock.systemClock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
+import sniperoute.process.identity.VmName
 import sniperoute.process.identity.newIncarnation
 import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.metrics.counter
@@ -87,16 +87,6 @@
 /** Returns the identity of a request, of which [number] others came before to this process. */
 public typealias IdentifyRequest = (head: RequestHead, number: Long) -> RequestId
 
-/** Returns the run of a request, or why there is none. */
-public typealias RunOf = (
-    exchange: Exchange,
-    id: RequestId,
-    view: ServingView,
-    ownerOf: OwnerOf,
-    outlets: RunOutlets,
-    now: Moment,
-) -> Either<Refusal, RequestRun>
-
 /** Returns the bounds on what callers may send, by what is in force. */
 public typealias LimitsOf = (view: ServingView) -> HttpLimits
 
@@ -200,8 +190,9 @@
 
     fun run() {
         session.view.set(ServingView(emptyCatalogue(), Moment.EARLIEST))
-        startDuties()
-        session.linkTo(parts.discovery.seeds())
+        val seeds = parts.discovery.seeds()
+        startDuties(seeds)
+        session.dialings.linkTo(seeds)
         watchMetrics()
         val office = RouterOffice(threads, metrics, recorder, clock, routingState, ::unreadyReason)
         val administration = parts.serveAdministration(office)
@@ -217,11 +208,11 @@
         awaitStop { stop(callers) }
     }
 
-    private fun startDuties() {
+    private fun startDuties(seeds: List<VmName>) {
         onCatalogue = parts.watchEndpoints(client, routingRing, recorder, onFailure)
         val routing = RoutingOutlets(runs, sessionRing, { session.askLedger(it, true) {} }, routingState)
         startRoutingDuty(routingRing, parts.placement, routingState.get(), routing, clock, onFailure)
-        val initial = newControlSession(parts.discovery.seeds().toPersistentList(), clock(), parts.session)
+        val initial = newControlSession(seeds.toPersistentList(), clock(), parts.session)
         sessionDuty = startSessionDuty(sessionRing, initial, session, clock, onFailure)
     }
 
@@ -245,8 +236,8 @@
     private fun receive(exchange: Exchange) {
         val front = parts.frontEnd
         val id = front.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.another() else it }
-        val view = session.view.get()
-        val run = if (isDraining.get()) draining.left() else front.runOf(exchange, id, view, ::ownerOf, outlets, clock())
+        val arrival = Arrival(exchange, id, session.view.get(), LedgerOwner(parts.location.vm, incarnation, id.text), outlets, clock())
+        val run = if (isDraining.get()) draining.left() else front.runOf(arrival)
         run.fold(
             ifLeft = { refusal ->
                 recorder.record(
@@ -267,8 +258,6 @@
     /** Two requests under one name are two requests. */
     private fun RequestId.another(): RequestId = RequestId("$text-${lastRequest.get()}")
 
-    private fun ownerOf(id: RequestId): LedgerOwner = LedgerOwner(parts.location.vm, incarnation, id.text)
-
     private fun ended(run: RequestRun, outcome: Outcome, firstToken: Moment?) {
         runs.remove(run.facts.id)
         val route = run.facts.route.name.text
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -4,11 +4,12 @@
 package sniperoute.router
 
 import sniperoute.common.ListEndpoints
-import sniperoute.connection.peer.Dialing
+import sniperoute.connection.peer.DialVm
 import sniperoute.connection.peer.PeerHandlers
 import sniperoute.connection.peer.PeerLink
 import sniperoute.connection.peer.message.Envelope
 import sniperoute.connection.peer.message.EnvelopeChannel
+import sniperoute.connection.peer.noDialings
 import sniperoute.process.clock.Clock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.DutyFailure
@@ -44,7 +45,7 @@
 /** What a session needs of the network: first replicas, links, and the platform's list. */
 internal class SessionNetwork(
     val seeds: () -> List<VmName>,
-    val dial: (VmName, PeerHandlers) -> Dialing?,
+    val dial: DialVm,
     val list: ListEndpoints,
 )
 
@@ -61,7 +62,9 @@
     private val links = ConcurrentHashMap<VmName, PeerLink>()
     private val waiting = ConcurrentHashMap<LedgerWait, (LedgerReply) -> Unit>()
     private val lastWait = AtomicLong()
-    private val dialings = ConcurrentHashMap<VmName, Dialing>()
+
+    /** The links to control replicas that this router keeps open. */
+    val dialings = noDialings(network.dial, handlers())
 
     /** Asks the ledger; a ring that is full answers for it that nothing was asked. */
     fun askLedger(request: LedgerRequest, isLasting: Boolean, onReply: (LedgerReply) -> Unit) {
@@ -70,16 +73,6 @@
         if (!inbox.offer(LedgerAsked(wait, request, isLasting))) waiting.remove(wait)?.invoke(LedgerNotHere)
     }
 
-    /** Keeps links open to the replicas on [vms], and to no others. */
-    fun linkTo(vms: Collection<VmName>) {
-        dialings.keys.filter { it !in vms }.forEach { dialings.remove(it)?.stop() }
-        alsoLinkTo(vms)
-    }
-
-    private fun alsoLinkTo(vms: Collection<VmName>) {
-        vms.filter { !dialings.containsKey(it) }.forEach { vm -> network.dial(vm, handlers())?.let { dialings[vm] = it } }
-    }
-
     /** Handlers of the links to the control replicas. */
     private fun handlers(): PeerHandlers = PeerHandlers(
         opened = { link ->
@@ -125,8 +118,8 @@
             is ServeFleet -> routing.put(FleetChanged(order.fleet))
             is HandWork -> routing.offer(FleetWorked(order.message))
             is ShareAllowances -> routing.put(RoutersCounted(order.routers))
-            is KeepLinks -> linkTo(order.replicas)
-            is SeekReplicas -> alsoLinkTo(network.seeds())
+            is KeepLinks -> dialings.linkTo(order.replicas)
+            is SeekReplicas -> dialings.alsoLinkTo(network.seeds())
             is ReadFleet -> network.list { listed -> inbox.offer(ListRead(listed)) }
             is LeaseRanOut -> recorder.record(EventKind.LEASE_LOST, detail = "keyed requests are refused until it is renewed")
             is CameInForce -> recorder.record(
