--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -33,6 +33,16 @@
 /** The head of an answer. */
 public data class AnswerHead(public val status: Int, public val headers: ImmutableList<Header> = persistentListOf())
 
+private const val SUCCESSES = 200
+private const val REDIRECTIONS = 300
+private const val SERVER_ERRORS = 500
+
+/** Whether the status says that the request succeeded. */
+public val AnswerHead.isSuccess: Boolean get() = status in SUCCESSES until REDIRECTIONS
+
+/** Whether the status says that the server failed. */
+public val AnswerHead.isServerError: Boolean get() = status >= SERVER_ERRORS
+
 /** The statuses that this project sends. */
 public object HttpStatus {
     public const val OK: Int = 200
--- a/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
+++ b/process/src/main/kotlin/sniperoute/process/codec/BinaryCodecs.kt
@@ -4,15 +4,10 @@
 package sniperoute.process.codec
 
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.cbor.Cbor
 
-/** Bytes that are not the message they should be; [reason] is the library's word on it. */
-public data class Undecodable(public val reason: String)
-
 @OptIn(ExperimentalSerializationApi::class)
 private val format = Cbor {
     ignoreUnknownKeys = true
@@ -26,8 +21,4 @@
 /** Returns the value that [bytes] encode, or why they encode none. */
 @OptIn(ExperimentalSerializationApi::class)
 public fun <T> KSerializer<T>.fromBytes(bytes: ByteArray): Either<Undecodable, T> =
-    try {
-        format.decodeFromByteArray(this, bytes).right()
-    } catch (failure: IllegalArgumentException) {
-        Undecodable(failure.message.orEmpty()).left()
-    }
+    decoding { format.decodeFromByteArray(this, bytes) }
--- /dev/null
+++ b/process/src/main/kotlin/sniperoute/process/codec/Decoding.kt
@@ -0,0 +1,19 @@
+/**
+ * Decoding with failures as values. The libraries throw IllegalArgumentException for all that can't be decoded.
+ */
+package sniperoute.process.codec
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+
+/** What is not the message it should be; [reason] is the library's word on it, the first line of it. */
+public data class Undecodable(public val reason: String)
+
+/** Returns what [decode] returns, or why it can't be decoded. */
+public inline fun <T> decoding(decode: () -> T): Either<Undecodable, T> =
+    try {
+        decode().right()
+    } catch (failure: IllegalArgumentException) {
+        Undecodable(failure.message.orEmpty().substringBefore('\n')).left()
+    }
--- a/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
@@ -43,7 +43,7 @@
 )
 
 private fun ObjectReader.addresses(name: String): ImmutableList<ListenAddress> =
-    objects(name) { ListenAddress(text("host"), whole("port", 1L..PORT_RANGE.last).toInt()) }
+    objects(name) { ListenAddress(text("host"), whole("port", PEER_PORT_RANGE).toInt()) }
 
 /** Why a page gave no answer that can be used. */
 public sealed interface CallError {
--- a/programs/common/src/main/kotlin/sniperoute/common/AdministrationPages.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationPages.kt
@@ -38,12 +38,22 @@
     unreadyReason: UnreadyReason,
 ): WholeAnswer? = when (exchange.head.path) {
     "/live" -> textAnswer(HttpStatus.OK, "live\n")
-    "/ready" -> unreadyReason()?.let { textAnswer(HttpStatus.UNAVAILABLE, "not ready: $it\n") } ?: textAnswer(HttpStatus.OK, "ready\n")
-    "/metrics" -> textAnswer(HttpStatus.OK, metrics.toText())
+    "/ready" -> readinessPage(unreadyReason)
+    METRICS_PAGE -> metricsPage(metrics)
     "/timeline" -> jsonAnswer(HttpStatus.OK, recorder.toJson())
     else -> null
 }
 
+/** The path of the metrics. */
+public const val METRICS_PAGE: String = "/metrics"
+
+/** Returns the page of all metrics. */
+public fun metricsPage(metrics: MetricsRegistry): WholeAnswer = textAnswer(HttpStatus.OK, metrics.toText())
+
+/** Returns the page that says whether the process is ready, or why it is not. */
+public fun readinessPage(unreadyReason: UnreadyReason): WholeAnswer =
+    unreadyReason()?.let { textAnswer(HttpStatus.UNAVAILABLE, "not ready: $it\n") } ?: textAnswer(HttpStatus.OK, "ready\n")
+
 private fun Recorder.toJson(): String = administrationJson.encodeToString(ListSerializer(Event.serializer()), timeline.events)
 
 /** Sends [answer]. */
@@ -57,7 +67,7 @@
 public data class Operator(public val name: String, public val keyDigest: String)
 
 /** Pages that need no key: the balancer and the monitoring read them. */
-public val openPages: Set<String> = setOf("/live", "/ready", "/metrics")
+public val openPages: Set<String> = setOf("/live", "/ready", METRICS_PAGE)
 
 /** Returns the operator whose key came with [head], or `null`. */
 public fun List<Operator>.operatorOrNull(head: RequestHead): Operator? {
--- a/programs/common/src/main/kotlin/sniperoute/common/CommonSettings.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/CommonSettings.kt
@@ -18,6 +18,9 @@
 /** The range of ports; 0 takes any free one. */
 public val PORT_RANGE: LongRange = 0L..65_535L
 
+/** The range of ports of other processes. */
+public val PEER_PORT_RANGE: LongRange = 1L..PORT_RANGE.last
+
 /** Where a server listens. */
 public data class ListenAddress(public val host: String, public val port: Int)
 
@@ -49,7 +52,7 @@
 /** Reads the control replicas. */
 public fun ObjectReader.controlPeers(): ImmutableList<PeerAddress> =
     objects("controlReplicas") {
-        PeerAddress(VmName(text("vm", form = NAME_FORM)), text("host"), whole("port", 1L..PORT_RANGE.last).toInt())
+        PeerAddress(VmName(text("vm", form = NAME_FORM)), text("host"), whole("port", PEER_PORT_RANGE).toInt())
     }
 
 private val DIGEST_FORM = Regex("[0-9a-f]{64}")
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -32,6 +32,7 @@
 import sniperoute.control.message.*
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Moment
+import sniperoute.process.codec.decoding
 import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.timeline.Recorder
 import sniperoute.version.codec.digest
@@ -183,16 +184,7 @@
     }
 
 private fun <T> form(serializer: KSerializer<T>, exchange: Exchange): Either<WholeAnswer, T> =
-    try {
-        administrationJson.decodeFromString(serializer, exchange.body.decodeToString()).right()
-    } catch (failure: IllegalArgumentException) {
-        malformed(
-            failure.message
-                .orEmpty()
-                .lineSequence()
-                .first(),
-        ).left()
-    }
+    decoding { administrationJson.decodeFromString(serializer, exchange.body.decodeToString()) }.mapLeft { malformed(it.reason) }
 
 private fun malformed(reason: String): WholeAnswer = errorAnswer(HttpStatus.BAD_REQUEST, "malformed_request", reason, NOT_RUN)
 
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterSettings.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterSettings.kt
@@ -7,6 +7,7 @@
 import sniperoute.common.ListenAddress
 import sniperoute.common.Location
 import sniperoute.common.Operator
+import sniperoute.common.PEER_PORT_RANGE
 import sniperoute.common.controlPeers
 import sniperoute.common.listenAddress
 import sniperoute.common.location
@@ -66,7 +67,7 @@
             )
         } ?: defaults,
         placement = placement(),
-        platformList = objectOrNull("platformList") { ListenAddress(text("host"), whole("port", 1L..65_535L).toInt()) },
+        platformList = objectOrNull("platformList") { ListenAddress(text("host"), whole("port", PEER_PORT_RANGE).toInt()) },
         drain = milliseconds("drainMilliseconds", DRAIN_RANGE, 30.seconds),
         timelineEvents = whole("timelineEvents", TIMELINE_RANGE, DEFAULT_TIMELINE).toInt(),
     )
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toImmutableList
 import org.HdrHistogram.Histogram
 import sniperoute.common.ListenAddress
+import sniperoute.common.PEER_PORT_RANGE
 import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.decision.EventStreamState
 import sniperoute.connection.endpoint.decision.newEventStream
@@ -48,7 +49,7 @@
 )
 
 internal fun ObjectReader.loadSettings(): LoadSettings = LoadSettings(
-    routers = objects("routers") { ListenAddress(text("host"), whole("port", 1L..65_535L).toInt()) },
+    routers = objects("routers") { ListenAddress(text("host"), whole("port", PEER_PORT_RANGE).toInt()) },
     shape = objectAt("trace") { traceShape() } ?: error("a load needs a trace"),
     answerTokens = whole("answerTokens", 1L..100_000L, DEFAULT_ANSWER_TOKENS).toInt(),
     fleetPieces = whole("fleetPieces", 1L..10_000_000L, DEFAULT_FLEET_PIECES).toInt(),
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Stories.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Stories.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import sniperoute.common.ExitStatus
 import sniperoute.common.ListenAddress
+import sniperoute.common.PEER_PORT_RANGE
 import sniperoute.process.settings.ObjectReader
 import sniperoute.standin.engine.codec.CountsPage
 import sniperoute.standin.engine.codec.standinJson
@@ -31,7 +32,7 @@
     keyFile = Path.of(text("keyFile")),
 )
 
-private fun ObjectReader.address() = ListenAddress(text("host"), whole("port", 1L..65_535L).toInt())
+private fun ObjectReader.address() = ListenAddress(text("host"), whole("port", PEER_PORT_RANGE).toInt())
 
 private const val PREFIX_BYTES = 40_000
 private const val ANSWER_TOKENS = 20
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -17,6 +17,7 @@
 import sniperoute.connection.http.ExchangeWatch
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.codec.OUTCOME_HEADER
+import sniperoute.connection.http.isServerError
 import sniperoute.connection.http.valueOrNull
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Moment
@@ -210,7 +211,7 @@
     private fun completeWhole(action: CompleteWhole) {
         if (!isCallerGone) exchange.answer(action.head.worded(Outcome.RAN), action.content)
         passed.ledgerKey?.let { key -> finishCall(key, action) }
-        answered(isFault = action.head.status >= SERVER_ERRORS)
+        answered(isFault = action.head.isServerError)
     }
 
     private fun finishCall(key: LedgerKey, action: CompleteWhole) {
@@ -357,8 +358,6 @@
             "${facts.promptTokens} + ${facts.answerTokens} tokens, ${(facts.deadline - facts.arrived).inWholeMilliseconds} ms left"
 }
 
-private const val SERVER_ERRORS = 500
-
 /** Returns the run of a request that was admitted; nothing happens before [RequestRun.begin]. */
 public fun requestRun(facts: RequestFacts, passed: PassedRequest, exchange: Exchange, outlets: RunOutlets): RequestRun =
     RequestRun(facts, passed, exchange, outlets)
--- a/request/src/main/kotlin/sniperoute/request/run/codec/JsonAnswers.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/JsonAnswers.kt
@@ -7,12 +7,12 @@
 import sniperoute.connection.endpoint.decision.ServerSentEvent
 import sniperoute.connection.http.AnswerHead
 import sniperoute.connection.http.HttpStatus
+import sniperoute.connection.http.isServerError
 import sniperoute.connection.http.valueOrNull
 import sniperoute.request.run.message.*
 import sniperoute.version.message.ServiceKind
 
 private const val END_MARKER = "[DONE]"
-private const val SERVER_ERRORS = 500
 private val REJECTIONS = setOf(HttpStatus.CONFLICT, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.UNAVAILABLE)
 
 /** Returns how answers of a service of [kind] are read, for a caller that [wantsStream] or a whole answer. */
@@ -27,7 +27,7 @@
     val isModel = kind == ServiceKind.MODEL
     return when {
         isModel && head.status in REJECTIONS -> NotTaken(isElsewhere = false, "the endpoint did not take the request: ${head.status}")
-        isModel && head.status >= SERVER_ERRORS -> NotAnAnswer("the endpoint answered ${head.status}")
+        isModel && head.isServerError -> NotAnAnswer("the endpoint answered ${head.status}")
         wantsStream && head.isEventStream && head.status == HttpStatus.OK -> StreamBegins
         else -> WholeBegins
     }
