Note lost and regained stores, unreadable seeds and why an order is lost

Read through for errors that turn into nothing: a store without an answer became run 0, settings that could not be read again became the seeds of the start, and an order without an answer became LOST, each without its reason in a log. The desk now notes a store when it is lost, comes back or is another run; the adapter notes why one gave no run and why the seeds were not read; a refused order says what that rests on. What is decided did not change.

--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -74,6 +74,8 @@
     LIST_ENTRY_IGNORED(706, Severity.WARNING),
     LIST_UNREAD(707, Severity.WARNING),
     REPORT_UNREAD(708, Severity.WARNING),
+    STORE_UP(709, Severity.INFORMATION),
+    STORE_DOWN(710, Severity.WARNING),
     MOVE_STARTED(800, Severity.INFORMATION),
     MOVE_WIDENED(801, Severity.INFORMATION),
     MOVE_DONE(802, Severity.INFORMATION),
--- a/programs/common/src/main/kotlin/sniperoute/common/Groups.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Groups.kt
@@ -6,10 +6,11 @@
 import kotlinx.collections.immutable.ImmutableList
 import sniperoute.connection.peer.PeerAddress
 import sniperoute.process.identity.VmName
+import sniperoute.process.timeline.Recorder
 import sniperoute.version.message.ListedEndpoint
 
 /** How the control group is found: the VMs that are known at first, read anew at each call, and their addresses. */
-public class GroupDiscovery(public val seeds: () -> List<VmName>, public val addressOf: (VmName) -> PeerAddress?)
+public class GroupDiscovery(public val seeds: (Recorder) -> List<VmName>, public val addressOf: (VmName) -> PeerAddress?)
 
 /** Returns the discovery of a group whose [replicas] are all known from the start. */
 public fun fixedDiscovery(replicas: List<PeerAddress>): GroupDiscovery = GroupDiscovery(
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -161,7 +161,7 @@
         links.dialings.linkTo(
             others(
                 recovered.log.membership.everyone
-                    .map { it.vm } + parts.discovery.seeds(),
+                    .map { it.vm } + parts.discovery.seeds(recorder),
             ),
         )
         val server = serveOperators(desk)
@@ -205,7 +205,7 @@
         desk = deskRing,
         send = links::sendAgreement,
         broadcast = { message ->
-            links.dialings.alsoLinkTo(others(parts.discovery.seeds()))
+            links.dialings.alsoLinkTo(others(parts.discovery.seeds(recorder)))
             links.broadcastAgreement(message)
         },
         members = { vms -> links.dialings.linkTo(others(vms)) },
--- a/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/DeskDuties.kt
@@ -135,9 +135,9 @@
             is OrderEndpoint -> {
                 val subject = EventSubject(endpoint = name.text, weights = "${action.model} ${action.number}")
                 recorder.record(EventKind.LOAD_ORDERED, subject, "fence ${order.fence}, after ${action.count} orders")
-                endpoints.order(action, order.fence) { outcome ->
+                endpoints.order(action, order.fence) { outcome, grounds ->
                     if (outcome != OrderOutcome.TAKEN) {
-                        recorder.record(EventKind.LOAD_ORDER_REFUSED, subject, "fence ${order.fence}: $outcome")
+                        recorder.record(EventKind.LOAD_ORDER_REFUSED, subject, "fence ${order.fence}: $outcome, $grounds")
                     }
                     inbox.offer(EndpointOrdered(name, action.number, outcome))
                 }
--- a/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointOffices.kt
@@ -15,8 +15,11 @@
 /** Reads what an endpoint reports of itself; [onReport] is told once, `null` when it gave no report. */
 public typealias ReadListedEndpoint = (endpoint: ListedEndpoint, onReport: (EndpointReport?) -> Unit) -> Unit
 
+/** Is told what became of an order, and what that rests on. */
+public typealias OnOrderOutcome = (outcome: OrderOutcome, grounds: String) -> Unit
+
 /** Sends an order under [fence]; [onOutcome] is told once. */
-public typealias OrderListedEndpoint = (order: OrderEndpoint, fence: Long, onOutcome: (OrderOutcome) -> Unit) -> Unit
+public typealias OrderListedEndpoint = (order: OrderEndpoint, fence: Long, onOutcome: OnOrderOutcome) -> Unit
 
 /** Asks a store of cached parts for its run; [onRun] is told once, `null` when it does not answer. */
 public typealias ReadStoreRun = (place: StorePlace, onRun: (Long?) -> Unit) -> Unit
@@ -26,6 +29,6 @@
     public val call: CallEndpoint,
     public val list: ListEndpoints = noList,
     public val read: ReadListedEndpoint = { _, onReport -> onReport(null) },
-    public val order: OrderListedEndpoint = { _, _, onOutcome -> onOutcome(OrderOutcome.LOST) },
+    public val order: OrderListedEndpoint = { _, _, onOutcome -> onOutcome(OrderOutcome.LOST, "no order is sent here") },
     public val readStore: ReadStoreRun = { _, onRun -> onRun(null) },
 )
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/Desk.kt
@@ -42,7 +42,7 @@
     is OperatorCommanded -> onOperator(input, status, now)
     is WeightsRead -> onWeightsRead(input).unchanged()
     is EndpointsListed -> onListed(input, now)
-    is StoreSeen -> lead { copy(stores = stores.put(input.service, input.run)) }.publishFleet()
+    is StoreSeen -> onStoreSeen(input)
     is EndpointRead -> tendLoads(now) { it.reported(input.endpoint, input.report, now) }
     is EndpointOrdered -> tendLoads(now) { it.ordered(input.endpoint, input.number, input.outcome, now) }
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetTending.kt
@@ -10,9 +10,12 @@
 import sniperoute.control.message.*
 import sniperoute.process.clock.Moment
 import sniperoute.process.identity.VmName
+import sniperoute.process.timeline.message.EventKind
+import sniperoute.process.timeline.message.EventSubject
 import sniperoute.version.decision.*
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
+import sniperoute.version.message.STORE_IS_DOWN
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The list is read this often: several times within the time in which a leaving endpoint must be left alone. */
@@ -51,6 +54,17 @@
     return reads.fold(lead { copy(nextStoreRead = now + STORE_INTERVAL) }.unchanged()) { step, read -> step.order(read) }
 }
 
+internal fun DeskState.onStoreSeen(input: StoreSeen): DeskStep {
+    val known = leadership ?: return unchanged()
+    if (known.stores[input.service] == input.run) return unchanged()
+    val isDown = input.run == STORE_IS_DOWN
+    val kind = if (isDown) EventKind.STORE_DOWN else EventKind.STORE_UP
+    val detail = if (isDown) "it does not answer" else "run ${input.run}"
+    return lead { copy(stores = stores.put(input.service, input.run)) }
+        .publishFleet()
+        .order(NoteEvent(kind, EventSubject(endpoint = input.service.text), detail))
+}
+
 internal fun DeskState.onListed(input: EndpointsListed, now: Moment): DeskStep {
     val listed = input.listed ?: return unchanged()
     val known = leadership ?: return unchanged()
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -169,7 +169,7 @@
         recorder = recorder,
         onView = ::onView,
         network = SessionNetwork(
-            seeds = parts.discovery.seeds,
+            seeds = { parts.discovery.seeds(recorder) },
             dial = { vm, handlers -> parts.discovery.addressOf(vm)?.let { network.dial(name, it, parts.trust, handlers) } },
             list = parts.listEndpoints(client, recorder),
         ),
@@ -190,7 +190,7 @@
 
     fun run() {
         session.view.set(ServingView(emptyCatalogue(), Moment.EARLIEST))
-        val seeds = parts.discovery.seeds()
+        val seeds = parts.discovery.seeds(recorder)
         startDuties(seeds)
         session.dialings.linkTo(seeds)
         watchMetrics()
--- a/programs/src/test/kotlin/sniperoute/programs/DeskTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/DeskTest.kt
@@ -16,6 +16,7 @@
 import sniperoute.process.identity.FailureDomain
 import sniperoute.process.identity.Incarnation
 import sniperoute.process.identity.VmName
+import sniperoute.process.timeline.message.EventKind
 import sniperoute.request.ledger.message.*
 import sniperoute.version.codec.digest
 import sniperoute.version.codec.emptyDeclarations
@@ -149,6 +150,19 @@
         expectThat(desk.desk.machine.configurations.declarations).isEqualTo(mine)
     }
 
+    @Test
+    fun `a store that is lost, comes back or is another run is noted once each`() {
+        val desk = DeskDriver()
+        desk.input(null)
+        val store = ServiceName("store")
+        val noted = listOf(STORE_IS_DOWN, STORE_IS_DOWN, 4, 4, STORE_IS_DOWN, 4, 5).map { run ->
+            desk.input(StoreSeen(store, run)).filterIsInstance<NoteEvent>().map { it.kind }
+        }
+        val up = listOf(EventKind.STORE_UP)
+        val down = listOf(EventKind.STORE_DOWN)
+        expectThat(noted).isEqualTo(listOf(down, emptyList(), up, emptyList(), down, up, up))
+    }
+
     @Test
     fun `a replica that does not lead, or whose lease ran out, grants nothing`() {
         val desk = DeskDriver()
