Write nothing to a member or peer that says nothing

Ruled out by trials: the disk (0.6 ms a write on followers), the number of voters left (two dark followers from the start cost nothing), the replaced member as such, empty buckets.

Change: a member that does not answer gets empty heartbeats, and what it lacks once it answers; what was sent before an answered heartbeat and is not confirmed by it counts as lost and is sent again. A link writes nothing while its peer has not been heard for 0.7 s, and throws away what is left when it ends by silence. Both tests fail on the code before.

--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -13,6 +13,7 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -27,6 +28,7 @@
 import java.util.concurrent.atomic.LongAdder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** After this long without anything to send, an empty frame goes out. */
 private val HEARTBEAT = 500.milliseconds
@@ -34,6 +36,12 @@
 /** After this long without anything received, the link is taken for dead. */
 internal val SILENCE: Duration = 1_500.milliseconds
 
+/**
+ * After this long without anything received, nothing more is written until the peer is heard again: it sends an empty frame at
+ * least every [HEARTBEAT]. What a peer that is gone does not take would keep the writer busy for nothing.
+ */
+internal val HOLD_BACK: Duration = 700.milliseconds
+
 private const val LARGEST_FRAME_BYTES = 256 * 1024 * 1024
 private const val OUTBOX_CAPACITY = 4_096
 
@@ -58,6 +66,24 @@
     }
 }
 
+/** When the peer of an open link was last heard. */
+private class Pulse {
+    private val news = Channel<Unit>(Channel.CONFLATED)
+
+    @Volatile
+    private var heard = TimeSource.Monotonic.markNow()
+
+    fun beat() {
+        heard = TimeSource.Monotonic.markNow()
+        news.trySend(Unit)
+    }
+
+    /** Returns as soon as the peer was heard within [HOLD_BACK]. */
+    suspend fun awaitPeer() {
+        while (heard.elapsedNow() > HOLD_BACK) news.receive()
+    }
+}
+
 /** What a process does with its links. */
 public class PeerHandlers(
     public val opened: (PeerLink) -> Unit,
@@ -82,11 +108,13 @@
 
 private suspend fun LinkChannels.exchange(handshaken: Handshaken, handlers: PeerHandlers, socket: Socket) {
     val link = PeerLink(handshaken.peer)
+    val pulse = Pulse()
     handlers.opened(link)
     val reason = try {
         coroutineScope {
-            launch { writeFrames(link, handshaken) }.invokeOnCompletion { socket.close() }
-            readFrames(link, handshaken, handlers)
+            val writer = launch { writeFrames(link, handshaken, pulse) }
+            writer.invokeOnCompletion { socket.close() }
+            readFrames(link, handshaken, handlers, pulse) ?: endSilently(link, writer)
         }
     } catch (failure: IOException) {
         failure.message ?: failure.javaClass.simpleName
@@ -96,10 +124,11 @@
     handlers.closed(link, reason)
 }
 
-private suspend fun LinkChannels.writeFrames(link: PeerLink, handshaken: Handshaken) {
+private suspend fun LinkChannels.writeFrames(link: PeerLink, handshaken: Handshaken, pulse: Pulse) {
     while (true) {
         val next = withTimeoutOrNull(HEARTBEAT) { link.outbox.receiveCatching() }
         if (next != null && next.isClosed) return
+        pulse.awaitPeer()
         var content = next?.getOrNull()?.let { Envelope.serializer().toBytes(it) } ?: ByteArray(0)
         while (true) {
             val sealed = handshaken.seals.seal(content)
@@ -114,9 +143,11 @@
     }
 }
 
-private suspend fun LinkChannels.readFrames(link: PeerLink, handshaken: Handshaken, handlers: PeerHandlers): String {
+/** Returns why nothing more is read, or `null` when nothing came for [SILENCE]. */
+private suspend fun LinkChannels.readFrames(link: PeerLink, handshaken: Handshaken, handlers: PeerHandlers, pulse: Pulse): String? {
     while (true) {
-        val sealed = withTimeoutOrNull(SILENCE) { readFrame() } ?: return endSilently(link)
+        val sealed = withTimeoutOrNull(SILENCE) { readFrame() } ?: return null
+        pulse.beat()
         val content = handshaken.seals.openOrNull(sealed) ?: return refuse(link, handlers, "a frame was altered, replayed or lost")
         if (content.isEmpty()) continue
         val envelope = Envelope.serializer().fromBytes(content).getOrNull() ?: return refuse(link, handlers, "a frame holds no envelope")
@@ -124,8 +155,11 @@
     }
 }
 
-private fun endSilently(link: PeerLink): String {
+/** A peer that is gone does not take what was written either: it is thrown away, or the socket would never be done with it. */
+private fun LinkChannels.endSilently(link: PeerLink, writer: Job): String {
     link.close()
+    writer.cancel()
+    output.cancel(IOException("nothing came for $SILENCE"))
     return "nothing came for $SILENCE"
 }
 
--- a/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
@@ -8,12 +8,15 @@
 import sniperoute.connection.peer.*
 import sniperoute.connection.peer.codec.FrameSeal
 import sniperoute.connection.peer.message.*
+import sniperoute.process.codec.toBytes
 import sniperoute.process.identity.Incarnation
 import sniperoute.process.identity.VmName
 import sniperoute.process.timeline.message.HybridTime
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.io.DataInputStream
@@ -112,6 +115,42 @@
         Thread.sleep(2_000)
     }
 
+    @Test
+    fun `a peer that says nothing gets nothing more until the link ends`() {
+        val server = ServerSocket(0)
+        val taken = LinkedBlockingQueue<Long>()
+        thread(isDaemon = true) { server.accept().use { listenSilently(it, taken) } }
+        val dialer = Seen()
+        val target = PeerAddress(VmName("control"), "127.0.0.1", server.localPort)
+        network().dial(name("127.0.0.1"), target, AddressTrust, dialer.handlers)
+        val link = dialer.opened.next()!!
+        val opened = System.nanoTime()
+        while (dialer.closed.isEmpty() && millisecondsSince(opened) < 5_000) {
+            link.send(envelope("anything"))
+            Thread.sleep(5)
+        }
+        expectThat(dialer.closed.next()).isNotNull().contains("nothing came")
+        val late = taken.map { (it - opened) / 1_000_000 }.filter { it > 1_000 }
+        expectThat(taken.size).describedAs("frames before").isGreaterThan(10)
+        expectThat(late).describedAs("frames after a second of silence").isEmpty()
+    }
+
+    private fun millisecondsSince(start: Long): Long = (System.nanoTime() - start) / 1_000_000
+
+    /** Answers the handshake, then reads and says nothing; [taken] gets the time of each frame. */
+    private fun listenSilently(client: Socket, taken: LinkedBlockingQueue<Long>) {
+        val input = DataInputStream(client.getInputStream())
+        val output = DataOutputStream(client.getOutputStream())
+        input.readPart()
+        output.writePart(LinkChallenge.serializer().toBytes(LinkChallenge(name("control"), ByteArray(32), ByteArray(0))))
+        runCatching {
+            while (true) {
+                input.readPart()
+                taken.put(System.nanoTime())
+            }
+        }
+    }
+
     private fun DataInputStream.readPart(): ByteArray = ByteArray(readInt()).also(::readFully)
 
     private fun DataOutputStream.writePart(part: ByteArray) {
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/AgreementStates.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/AgreementStates.kt
@@ -51,14 +51,15 @@
 ) : Role
 
 /**
- * What a leader knows of another replica: the [next] entry to send, the last [matched] one, and when the newest request that
- * was [answered] had been sent.
+ * What a leader knows of another replica: the [next] entry to send, the last [matched] one, when the newest request that
+ * was [answered] had been sent, and when entries were last sent to it.
  */
 public data class Progress(
     public val next: Long,
     public val matched: Long,
     public val answered: Moment,
     public val snapshotSent: Moment = Moment.EARLIEST,
+    public val entriesSent: Moment = Moment.EARLIEST,
 )
 
 /**
--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
@@ -40,13 +40,15 @@
     }
 }
 
-/** A member that has not answered for a while gets what it lacks with a heartbeat only, not again with each new entry. */
+/** A member that has not answered for a while gets heartbeats only, and what it lacks once it answers: it may be gone. */
 private fun AgreementState.sendTo(member: ReplicaIdentity, now: Moment, heartbeat: Boolean): Transition {
     val leader = role as Leader
-    val known = leader.progress.getValue(member)
-    val progress = refreshed(known, now)
+    val progress = leader.progress.getValue(member)
+    val isStale = progress.isStale(now, settings)
     return when {
-        !heartbeat && known.isStale(now, settings) -> unchanged()
+        isStale && !heartbeat -> unchanged()
+        isStale && confirmed(progress) >= log.snapshot.index ->
+            unchanged().order(Send(member, appendRequest(confirmed(progress), persistentListOf(), now)))
         progress.next <= log.snapshot.index -> sendSnapshot(member, progress, now, heartbeat)
         progress.next <= log.lastIndex -> sendEntries(member, progress, now)
         heartbeat -> unchanged().order(Send(member, appendRequest(confirmed(progress), persistentListOf(), now)))
@@ -61,13 +63,11 @@
 private fun Progress.isStale(now: Moment, settings: AgreementSettings): Boolean =
     next > matched + 1 && now - answered > settings.heartbeat * STALE_HEARTBEATS
 
-private fun AgreementState.refreshed(progress: Progress, now: Moment): Progress =
-    if (progress.matched > 0 && progress.isStale(now, settings)) progress.copy(next = progress.matched + 1) else progress
-
 private fun AgreementState.sendEntries(member: ReplicaIdentity, progress: Progress, now: Moment): Transition {
     val entries = log.entriesFrom(progress.next, settings.entriesPerMessage)
     val request = appendRequest(progress.next - 1, entries, now)
-    return withProgress(member, progress.copy(next = progress.next + entries.size)).unchanged().order(Send(member, request))
+    val sent = progress.copy(next = progress.next + entries.size, entriesSent = now)
+    return withProgress(member, sent).unchanged().order(Send(member, request))
 }
 
 private fun AgreementState.appendRequest(previous: Long, entries: PersistentList<LogEntry>, now: Moment): AppendRequest {
@@ -143,7 +143,7 @@
         .order(Restore(snapshot))
 }
 
-/** Returns the state after a follower answered. */
+/** Returns the state after a follower answered. Entries that were sent before the request that it answers, and that it lacks, are lost. */
 internal fun AgreementState.onAppendReply(from: ReplicaIdentity, reply: AppendReply, now: Moment): Transition {
     if (reply.term > term) return follow(reply.term, null, now)
     val leader = role as? Leader ?: return unchanged()
@@ -152,7 +152,8 @@
     val answered = maxOf(progress.answered, reply.sentAt)
     val updated = if (reply.accepted) {
         val matched = maxOf(progress.matched, reply.matched)
-        progress.copy(matched = matched, next = maxOf(progress.next, matched + 1), answered = answered)
+        val sentLater = if (reply.sentAt > progress.entriesSent) 0 else progress.next
+        progress.copy(matched = matched, next = maxOf(sentLater, matched + 1), answered = answered)
     } else {
         val retry = reply.matched.coerceIn(progress.matched, log.lastIndex) + 1
         progress.copy(next = minOf(progress.next, retry), answered = answered)
--- a/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
@@ -16,7 +16,11 @@
 import sniperoute.process.agreement.decision.HandOver
 import sniperoute.process.agreement.decision.Leader
 import sniperoute.process.agreement.decision.Redundancy
+import sniperoute.process.agreement.decision.Send
+import sniperoute.process.agreement.decision.Tick
 import sniperoute.process.agreement.decision.redundancy
+import sniperoute.process.agreement.decision.step
+import sniperoute.process.agreement.message.AppendRequest
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -49,6 +53,27 @@
         expectThat(group.committedIndex).isGreaterThan(190)
     }
 
+    @Test
+    fun `a follower that does not answer gets no entries again before it answers, and then all of them`() {
+        val group = ReplicaGroup(names, Random(1))
+        group.calm(5.seconds) { group.isRedundant() }
+        group.calm(200.milliseconds)
+        val leader = group.leaderOrNull()!!
+        val silent = group.replicas.first { it !== leader }
+        group.crash(silent)
+        repeat(20) { group.propose() }
+        group.calm(500.milliseconds)
+        val heartbeat = leader.state!!
+            .step(group.now + 100.milliseconds, Tick)
+            .orders
+            .filterIsInstance<Send>()
+            .filter { it.to.vm == silent.vm }
+        expectThat(heartbeat.map { (it.message as AppendRequest).entries.size }).isEqualTo(listOf(0))
+        group.start(silent)
+        expectThat(group.calm(3.seconds) { group.isRedundant() }).isTrue()
+        expectThat(silent.state!!.log.lastIndex).isEqualTo(leader.state!!.log.lastIndex)
+    }
+
     @Test
     fun `no acknowledged entry is lost or changed, whatever fails, with a minority of disks lost`() {
         runBlocking {
