Count repeats until they have left the window

Ruled out: the parts' order, uneven shares of the traffic (the router that freezes was enough).

Change: a part counts until its end has left the window.

To start with the extra part spent was weighed; it refuses repeats just when a restart has broken calls, so it waits for a measured choice.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
@@ -32,9 +32,11 @@
 /** Returns a budget of which nothing is spent. */
 public fun fullRetryBudget(): RetryBudget = RetryBudget(persistentListOf())
 
+/** A part counts until its last moment has left the window: what was spent there at its end must not be spent twice in a window. */
 private fun RetryBudget.at(now: Moment, allowance: RetryAllowance): RetryBudget {
-    val kept = parts.filter { now - it.start < allowance.window }
-    val isCurrent = kept.isNotEmpty() && now - kept.last().start < allowance.window / WINDOW_PARTS
+    val partLength = allowance.window / WINDOW_PARTS
+    val kept = parts.filter { now - it.start < allowance.window + partLength }
+    val isCurrent = kept.isNotEmpty() && now - kept.last().start < partLength
     return RetryBudget((if (isCurrent) kept else kept + RetryPart(now, 0, 0)).toPersistentList())
 }
 
--- /dev/null
+++ b/request/src/test/kotlin/sniperoute/request/RetryBudgetsTest.kt
@@ -0,0 +1,87 @@
+/**
+ * The retry budget of a fleet of routers that restart, freeze and see uneven shares of the traffic.
+ */
+package sniperoute.request
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import sniperoute.process.clock.Moment
+import sniperoute.request.routing.decision.RetryAllowance
+import sniperoute.request.routing.decision.RetryBudget
+import sniperoute.request.routing.decision.earn
+import sniperoute.request.routing.decision.fullRetryBudget
+import sniperoute.request.routing.decision.spendOrNull
+import strikt.api.expectThat
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalKotest::class)
+class RetryBudgetsTest {
+    private val allowance = RetryAllowance(ratio = 0.2, extra = 56, window = 10.seconds)
+
+    private class Router(var budget: RetryBudget?, var idleUntil: Moment)
+
+    @Test
+    fun `repeats of all routers stay within the budget in every window while routers freeze`() = play(restarts = false)
+
+    @Test
+    fun `repeats of all routers stay within the budget in every window while routers restart`() = play(restarts = true)
+
+    private fun play(restarts: Boolean) {
+        runBlocking {
+            checkAll(PropTestConfig(seed = 5, iterations = 60), Arb.long(), Arb.int(1..12)) { seed, count ->
+                val random = Random(seed)
+                var now = Moment(60_000_000)
+                val routers = List(count) { Router(null, now) }
+                val requests = mutableListOf<Moment>()
+                val repeats = mutableListOf<Moment>()
+                repeat(2_000) {
+                    now += random.nextInt(1, 40).milliseconds
+                    val router = routers[minOf(random.nextInt(count), random.nextInt(count))]
+                    when (random.nextInt(60)) {
+                        0 -> if (restarts) router.restart(now + random.nextInt(200, 3_000).milliseconds)
+                        1 -> router.idleUntil = now + random.nextInt(4_000).milliseconds
+                        else -> router.serve(now, count, requests, repeats)
+                    }
+                    requests.removeIf { now - it > allowance.window * 2 }
+                    repeats.removeIf { now - it > allowance.window }
+                    val most = allowance.ratio * requestsThatCount(requests, now) + allowance.extra
+                    expectThat(repeats.count { now - it < allowance.window }.toDouble()).describedAs("seed $seed").isLessThanOrEqualTo(most)
+                }
+            }
+        }
+    }
+
+    private fun Router.restart(until: Moment) {
+        budget = null
+        idleUntil = until
+    }
+
+    /** Every request fails and is to be repeated as often as the budget allows. */
+    private fun Router.serve(now: Moment, routers: Int, requests: MutableList<Moment>, repeats: MutableList<Moment>) {
+        if (now < idleUntil) return
+        requests += now
+        var current = (budget ?: fullRetryBudget()).earn(now, allowance)
+        repeat(4) {
+            val spent = current.spendOrNull(now, allowance, routers) ?: return@repeat
+            current = spent
+            repeats += now
+        }
+        budget = current
+    }
+
+    /** Of the window that ends now, the one before it and the one half a window before it the one with most requests counts. */
+    private fun requestsThatCount(requests: List<Moment>, now: Moment): Int =
+        listOf(0, 1, 2).maxOf { halves ->
+            val end = now - allowance.window * halves / 2
+            requests.count { it <= end && end - it < allowance.window }
+        }
+}
