Judge held back envelopes by when they were sent

The test took the time at which the peer's thread read a frame, which a busy machine makes late; the envelope now says itself when it was sent. The check is as strict: nothing that was sent after a second of silence may arrive.

--- a/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/PeerLinksTest.kt
@@ -7,7 +7,9 @@
 import org.junit.jupiter.api.Test
 import sniperoute.connection.peer.*
 import sniperoute.connection.peer.codec.FrameSeal
+import sniperoute.connection.peer.codec.plainSeals
 import sniperoute.connection.peer.message.*
+import sniperoute.process.codec.fromBytes
 import sniperoute.process.codec.toBytes
 import sniperoute.process.identity.Incarnation
 import sniperoute.process.identity.VmName
@@ -126,18 +128,17 @@
         val link = dialer.opened.next()!!
         val opened = System.nanoTime()
         while (dialer.closed.isEmpty() && millisecondsSince(opened) < 5_000) {
-            link.send(envelope("anything"))
+            link.send(envelope("${millisecondsSince(opened)}"))
             Thread.sleep(5)
         }
         expectThat(dialer.closed.next()).isNotNull().contains("nothing came")
-        val late = taken.map { (it - opened) / 1_000_000 }.filter { it > 1_000 }
-        expectThat(taken.size).describedAs("frames before").isGreaterThan(10)
-        expectThat(late).describedAs("frames after a second of silence").isEmpty()
+        expectThat(taken.size).describedAs("what was sent before").isGreaterThan(10)
+        expectThat(taken.filter { it > 1_000 }).describedAs("what was sent after a second of silence").isEmpty()
     }
 
     private fun millisecondsSince(start: Long): Long = (System.nanoTime() - start) / 1_000_000
 
-    /** Answers the handshake, then reads and says nothing; [taken] gets the time of each frame. */
+    /** Answers the handshake, then reads and says nothing; [taken] gets when each envelope was sent, as it says itself. */
     private fun listenSilently(client: Socket, taken: LinkedBlockingQueue<Long>) {
         val input = DataInputStream(client.getInputStream())
         val output = DataOutputStream(client.getOutputStream())
@@ -145,8 +146,9 @@
         output.writePart(LinkChallenge.serializer().toBytes(LinkChallenge(name("control"), ByteArray(32), ByteArray(0))))
         runCatching {
             while (true) {
-                input.readPart()
-                taken.put(System.nanoTime())
+                val content = plainSeals().openOrNull(input.readPart())!!
+                val envelope = Envelope.serializer().fromBytes(content).getOrNull()
+                if (envelope != null) taken.put(envelope.body.decodeToString().toLong())
             }
         }
     }
