Log how far a broken attempt got and which blocks its prompt shares

Change: requests carry the identities of their shared blocks; 604 names them for a broken connection, with the events delivered so far.

--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -19,6 +19,7 @@
 import sniperoute.request.prefix.codec.Prompt
 import sniperoute.request.prefix.codec.parsePrompt
 import sniperoute.request.prefix.decision.BYTES_PER_TOKEN
+import sniperoute.request.prefix.decision.blockIds
 import sniperoute.request.prefix.decision.prefixChain
 import sniperoute.request.prefix.decision.workspaceSalt
 import sniperoute.request.routing.message.AdmittedRequest
@@ -86,5 +87,6 @@
         answerTokens = prompt.maxAnswerTokens,
         arrived = incoming.now,
         deadline = incoming.now + admission.route.deadlineMilliseconds.milliseconds,
+        sharedBlocks = if (isModel) blockIds(prompt.text) else persistentListOf(),
     )
 }
--- a/request/src/main/kotlin/sniperoute/request/prefix/decision/PrefixChains.kt
+++ b/request/src/main/kotlin/sniperoute/request/prefix/decision/PrefixChains.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import net.openhft.hashing.LongHashFunction
+import sniperoute.version.message.BlockId
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
 
@@ -26,6 +27,12 @@
         .drop(1)
         .toPersistentList()
 
+/** Returns the identity of each whole block of [text]. */
+public fun blockIds(text: ByteArray): PersistentList<BlockId> =
+    (0 until text.size / BLOCK_BYTES)
+        .map { block -> BlockId(LongHashFunction.xx3().hashBytes(text, block * BLOCK_BYTES, BLOCK_BYTES).toHexString()) }
+        .toPersistentList()
+
 /** Returns the salt that separates the cache entries of [workspace] from those of all others; open routes share one salt. */
 public fun workspaceSalt(workspace: WorkspaceName?): Long = LongHashFunction.xx3().hashChars(workspace?.text.orEmpty())
 
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.prefix.decision.BLOCK_TOKENS
+import sniperoute.version.message.BlockId
 import sniperoute.version.message.KeyDigest
 import sniperoute.version.message.ModelName
 import sniperoute.version.message.RequestClass
@@ -27,6 +28,7 @@
  *
  * @property hash spreads requests over the shares of a route.
  * @property chain holds one hash for each whole cache block of the prompt; each hash covers its block and all blocks before it.
+ * @property sharedBlocks identify the content of the blocks of the prompt that other prompts may contain.
  * @property promptTokens is an upper estimate.
  * @property answerTokens is an upper estimate.
  * @property blockTokens holds the tokens up to the end of each block; empty when all blocks have [BLOCK_TOKENS] tokens.
@@ -54,6 +56,7 @@
     public val rank: Int = route.effectiveRank,
     public val queueDeadline: Timestamp = deadline,
     public val tokens: Long = promptTokens + answerTokens,
+    public val sharedBlocks: PersistentList<BlockId> = persistentListOf(),
 ) {
     /** The tokens of all blocks but the last. Other prompts may share these; the last block belongs to this request alone. */
     public val sharedTokens: Long get() = tokensOf(chain.size - 1)
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -254,9 +254,16 @@
     private fun recordFailure(failure: FailAttempt) = when (failure.kind) {
         AttemptFailureKind.SILENT -> record(EventKind.ENDPOINT_SILENT, detail = failure.reason)
         AttemptFailureKind.WRONG -> record(EventKind.ENDPOINT_CROSSED_ANSWER, detail = failure.reason)
+        AttemptFailureKind.BROKEN -> record(EventKind.REQUEST_BROKEN, detail = "BROKEN: ${failure.reason}; ${describeProgress()}")
         else -> record(EventKind.REQUEST_BROKEN, detail = "${failure.kind}: ${failure.reason}")
     }
 
+    /** Describes how far a broken attempt got and what its prompt shares with others, to tell what a crash of an endpoint has in common. */
+    private fun describeProgress(): String =
+        "${assembly.delivered} events delivered, ${if (assembly.head == null) "no head" else "head"} received " +
+            "${(dependencies.clock() - sentAt).inWholeMilliseconds} ms after dispatch, " +
+            "shared blocks ${admitted.sharedBlocks.joinToString(" ").ifEmpty { "none" }}"
+
     private fun refuse(refusal: Refusal) {
         if (context.ledgerKey == null) return sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter)
         releaseCall { sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter) }
--- a/version/src/main/kotlin/sniperoute/version/message/Names.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/Names.kt
@@ -70,6 +70,15 @@
     }
 }
 
+/** Identifies the content of one block of a prompt, whatever blocks are before it. */
+@Serializable
+@JvmInline
+public value class BlockId(public val text: String) : Comparable<BlockId> {
+    override fun compareTo(other: BlockId): Int = text.compareTo(other.text)
+
+    override fun toString(): String = text
+}
+
 /** The digest of a request's workspace, route and body. */
 @Serializable
 @JvmInline
