Quarantine blocks of prompts that crash endpoints

Cause: a quarantine knew whole requests only. Prompts that share a harmful block have different digests, so each crashed engines anew.

Change: answers that are interrupted before their first content accuse the blocks of their prompts. The control replicas quarantine the set of blocks that the accused prompts share; prompts with part of the set go on and clear it of harmless blocks. Replicated, bounded, expiring, with a longer time after a relapse.

Evidence: in 21 of 21 crashes the begun answers without content held the same two blocks.

--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -68,6 +68,8 @@
     ONCE_ONLY_RELEASED(612, Severity.INFORMATION),
     ONCE_ONLY_UNKNOWN(613, Severity.WARNING),
     DIGEST_QUARANTINED(620, Severity.WARNING),
+    BLOCKS_QUARANTINED(621, Severity.WARNING),
+    BLOCKS_RELEASED(622, Severity.INFORMATION),
     ENDPOINT_UP(700, Severity.INFORMATION),
     ENDPOINT_DOWN(701, Severity.WARNING),
     ENDPOINT_LEAVING(702, Severity.INFORMATION),
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -125,7 +125,8 @@
 
     private fun ControlState.quarantine() =
         published.changes.values
-            .mapNotNull { (it.item as? QuarantineItem)?.digest?.text }
+            .filter { it.item is QuarantineItem || it.item is BlockQuarantineItem }
+            .map { it.name.text }
             .sorted()
             .toPersistentList()
 
--- a/programs/control/src/main/kotlin/sniperoute/control/codec/ControlStateCodecs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/codec/ControlStateCodecs.kt
@@ -6,8 +6,10 @@
 import arrow.core.Either
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.Serializable
 import sniperoute.control.decision.ControlState
@@ -26,8 +28,12 @@
 import sniperoute.request.ledger.message.LedgerKey
 import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.ledger.message.RecordedAnswer
+import sniperoute.request.quarantine.decision.BlockHistory
+import sniperoute.request.quarantine.decision.BlockQuarantine
 import sniperoute.request.quarantine.decision.CrashHistory
 import sniperoute.request.quarantine.decision.CrashRecord
+import sniperoute.request.quarantine.decision.InterruptedAnswer
+import sniperoute.request.quarantine.decision.InterruptingCrash
 import sniperoute.version.decision.AcceptedSubmission
 import sniperoute.version.decision.Allowances
 import sniperoute.version.decision.Configurations
@@ -35,6 +41,7 @@
 import sniperoute.version.decision.PublishedItems
 import sniperoute.version.decision.TokenBucket
 import sniperoute.version.message.*
+import kotlin.time.Duration.Companion.microseconds
 
 /** Returns this command as bytes. */
 public fun Command.encode(): ByteArray = Command.serializer().encodeToBytes(this)
@@ -68,6 +75,29 @@
 @Serializable
 private data class ChargeImage(val digest: RequestDigest, val endpoints: SerializableList<EndpointName>, val at: Timestamp)
 
+@Serializable
+private class AnswerImage(val blocks: SerializableList<BlockId>, val hasBegun: Boolean)
+
+@Serializable
+private class CrashImage(
+    val endpoint: EndpointName,
+    val incarnation: String,
+    val at: Timestamp,
+    val isSeen: Boolean,
+    val answers: SerializableList<AnswerImage>,
+)
+
+@Serializable
+private class BlockQuarantineImage(val blocks: SerializableList<BlockId>, val until: Timestamp, val microseconds: Long)
+
+@Serializable
+private class BlockHistoryImage(
+    val crashes: SerializableList<CrashImage>,
+    val quarantines: SerializableList<BlockQuarantineImage>,
+)
+
+/** The replicated state. Its properties are not grouped, so that snapshots of earlier versions can be read. */
+@Suppress("LongParameterList")
 @Serializable
 private class ControlImage(
     val number: Long,
@@ -85,6 +115,7 @@
     val calls: SerializableList<CallImage>,
     val charges: SerializableList<ChargeImage>,
     val ledgerSwept: Timestamp,
+    val blocks: BlockHistoryImage = BlockHistoryImage(persistentListOf(), persistentListOf()),
 )
 
 /** Returns this state as bytes. */
@@ -112,6 +143,37 @@
     calls = ledger.entries.toItems(::callImage),
     charges = crashes.records.toItems { digest, record -> ChargeImage(digest, record.endpoints.toImmutableList(), record.at) },
     ledgerSwept = lastLedgerExpiry,
+    blocks = blocks.toImage(),
+)
+
+private fun BlockHistory.toImage(): BlockHistoryImage = BlockHistoryImage(
+    crashes = crashes.map { it.toImage() }.toImmutableList(),
+    quarantines = quarantines
+        .map { BlockQuarantineImage(it.blocks.toImmutableList(), it.until, it.length.inWholeMicroseconds) }
+        .toImmutableList(),
+)
+
+private fun BlockHistoryImage.toHistory(): BlockHistory = BlockHistory(
+    crashes = crashes.map { it.toCrash() }.toPersistentList(),
+    quarantines = quarantines
+        .map { BlockQuarantine(it.blocks.toPersistentSet(), it.until, it.microseconds.microseconds) }
+        .toPersistentList(),
+)
+
+private fun InterruptingCrash.toImage(): CrashImage = CrashImage(
+    endpoint = endpoint,
+    incarnation = incarnation,
+    at = at,
+    isSeen = isSeen,
+    answers = answers.map { AnswerImage(it.blocks.toImmutableList(), it.hasBegun) }.toImmutableList(),
+)
+
+private fun CrashImage.toCrash(): InterruptingCrash = InterruptingCrash(
+    endpoint = endpoint,
+    incarnation = incarnation,
+    at = at,
+    isSeen = isSeen,
+    answers = answers.map { InterruptedAnswer(it.blocks.toPersistentSet(), it.hasBegun) }.toPersistentList(),
 )
 
 private fun <K, V, T> PersistentMap<K, V>.toItems(convert: (K, V) -> T): ImmutableList<T> =
@@ -143,6 +205,7 @@
     ledger = toLedger(),
     crashes = CrashHistory(charges.toMap { it.digest to CrashRecord(it.endpoints.toPersistentSet(), it.at) }),
     lastLedgerExpiry = ledgerSwept,
+    blocks = blocks.toHistory(),
 )
 
 private fun <T, K, V> ImmutableList<T>.toMap(convert: (T) -> Pair<K, V>): PersistentMap<K, V> =
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import sniperoute.control.message.*
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.ledger.decision.Ledger
@@ -14,11 +15,10 @@
 import sniperoute.request.ledger.decision.step
 import sniperoute.request.ledger.message.CallAcknowledged
 import sniperoute.request.ledger.message.CrashNotice
+import sniperoute.request.ledger.message.InterruptionNotice
 import sniperoute.request.ledger.message.LedgerReply
-import sniperoute.request.quarantine.decision.CrashHistory
-import sniperoute.request.quarantine.decision.emptyCrashHistory
-import sniperoute.request.quarantine.decision.forget
-import sniperoute.request.quarantine.decision.recordCrash
+import sniperoute.request.ledger.message.ServedBlocksNotice
+import sniperoute.request.quarantine.decision.*
 import sniperoute.version.decision.*
 import sniperoute.version.message.*
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,6 +35,7 @@
     public val ledger: Ledger,
     public val crashes: CrashHistory,
     public val lastLedgerExpiry: Timestamp,
+    public val blocks: BlockHistory = emptyBlockHistory(),
 )
 
 /** Returns the state before the first command. */
@@ -66,11 +67,16 @@
 /** The reply of the ledger. */
 public data class LedgerResult(public val reply: LedgerReply) : CommandResult
 
-/** The [state] after a command, its [result], and the digests of requests that it put in quarantine. */
+/**
+ * The [state] after a command, its [result], and the digests of requests that it put in quarantine. [quarantinedBlocks] and
+ * [releasedBlocks] are the sets of prompt blocks whose quarantine began or ended.
+ */
 public data class AppliedCommand(
     public val state: ControlState,
     public val result: CommandResult,
     public val quarantined: List<RequestDigest> = persistentListOf(),
+    public val quarantinedBlocks: List<ItemName> = persistentListOf(),
+    public val releasedBlocks: List<ItemName> = persistentListOf(),
 )
 
 /** Returns the state after [command], which is the log entry [index]. All replicas must return the same state. */
@@ -114,7 +120,7 @@
 }
 
 /** The kinds of items that commands publish and no declaration contains; a new configuration leaves them in place. */
-private val undeclaredKinds = setOf(ItemKind.QUARANTINE, ItemKind.MODEL_WEIGHTS)
+private val undeclaredKinds = setOf(ItemKind.QUARANTINE, ItemKind.BLOCK_QUARANTINE, ItemKind.MODEL_WEIGHTS)
 
 private fun ControlState.applyTargetWeights(command: SetTargetWeights): AppliedCommand {
     val current = targetWeights()[command.model]
@@ -215,12 +221,17 @@
         granted += taken.tokens
         taken.allowances
     }
-    return AppliedCommand(copy(allowances = remaining), TokensResult(granted.build()))
+    return copy(allowances = remaining).withBlocks(blocks.expire(command.at), TokensResult(granted.build()), command.at)
 }
 
 private fun ControlState.applyLedger(command: ChangeLedger): AppliedCommand {
     val request = command.request
-    if (request is CrashNotice) return applyCrash(request, command.at)
+    when (request) {
+        is CrashNotice -> return applyCrash(request, command.at)
+        is InterruptionNotice -> return applyInterruption(request, command.at)
+        is ServedBlocksNotice -> return withBlocks(blocks.recordServed(request.blocks.toSet()), LedgerResult(CallAcknowledged), command.at)
+        else -> Unit
+    }
     val (state, step) = withoutExpiredCalls(command.at).let { state -> state.ledger.step(request, command.at).let { state to it } }
     return AppliedCommand(state.copy(ledger = step.ledger), LedgerResult(step.reply))
 }
@@ -237,13 +248,52 @@
 private fun ControlState.applyCrash(notice: CrashNotice, now: Timestamp): AppliedCommand {
     val step = crashes.recordCrash(notice.endpoint, notice.digests, now)
     val next = copy(crashes = step.crashes, published = published.publish(step.quarantined.map(::QuarantineItem)))
-    return AppliedCommand(next, LedgerResult(CallAcknowledged), step.quarantined)
+    return next
+        .withBlocks(blocks.recordSeenCrash(notice.endpoint, notice.incarnation, now), LedgerResult(CallAcknowledged), now)
+        .copy(quarantined = step.quarantined)
+}
+
+private fun ControlState.applyInterruption(notice: InterruptionNotice, now: Timestamp): AppliedCommand {
+    val answer = InterruptedAnswer(notice.blocks.toPersistentSet(), notice.hasBegun)
+    return withBlocks(
+        blocks.recordInterruption(notice.endpoint, notice.incarnation, answer, now),
+        LedgerResult(CallAcknowledged),
+        now,
+    )
 }
 
-private fun ControlState.applyLiftQuarantine(command: LiftQuarantine): AppliedCommand = copy(
-    crashes = crashes.forget(command.digest),
-    published = published.publish(emptyList(), listOf(ItemName(ItemKind.QUARANTINE, command.digest.text))),
-).applied()
+/** Returns the state with the block history [next]; the quarantines that it holds at [now] are published. */
+private fun ControlState.withBlocks(next: BlockHistory, result: CommandResult, now: Timestamp): AppliedCommand {
+    val items = next.quarantinedAt(now).map { BlockQuarantineItem(it.sorted().toPersistentList()) }
+    val names = items.map { it.name }.toSet()
+    val before = quarantinedBlocks()
+    val released = before.filter { it !in names }
+    return AppliedCommand(
+        state = copy(blocks = next, published = published.publish(items, released)),
+        result = result,
+        quarantinedBlocks = names.filter { it !in before },
+        releasedBlocks = released,
+    )
+}
+
+/** Returns the names of the sets of prompt blocks that are in quarantine. */
+public fun ControlState.quarantinedBlocks(): List<ItemName> =
+    published.changes.values
+        .filter { it.item is BlockQuarantineItem }
+        .map { it.name }
+
+/** Lifts the quarantine of a digest, or of the prompt blocks that are published under the same text. */
+private fun ControlState.applyLiftQuarantine(command: LiftQuarantine): AppliedCommand {
+    val item = published.itemOrNull(ItemName(ItemKind.BLOCK_QUARANTINE, command.digest.text)) as BlockQuarantineItem?
+    if (item != null) {
+        val lifted = withBlocks(blocks.lift(item.blocks.toSet()), CommandApplied(published.revision), command.at)
+        return lifted.copy(result = CommandApplied(lifted.state.published.revision))
+    }
+    return copy(
+        crashes = crashes.forget(command.digest),
+        published = published.publish(emptyList(), listOf(ItemName(ItemKind.QUARANTINE, command.digest.text))),
+    ).applied()
+}
 
 private fun ControlState.applyStartMove(command: StartMove, index: Long): AppliedCommand {
     val service = serviceOrNull(command.service) ?: return rejected("service ${command.service} is not in force")
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -280,9 +280,11 @@
 }
 
 private fun ControlDutyState.recordEvents(command: Command, applied: AppliedCommand): ControlStep {
-    val event = eventOrNull(command, applied) ?: return unchanged()
-    val quarantined = applied.quarantined.map { RecordTimelineEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "digest $it") }
-    return quarantined.fold(unchanged().emit(event)) { step, effect -> step.emit(effect) }
+    val events = listOfNotNull(eventOrNull(command, applied)) +
+        applied.quarantined.map { RecordTimelineEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "digest $it") } +
+        applied.quarantinedBlocks.map { RecordTimelineEvent(EventKind.BLOCKS_QUARANTINED, EventSubject(), "blocks ${it.text}") } +
+        applied.releasedBlocks.map { RecordTimelineEvent(EventKind.BLOCKS_RELEASED, EventSubject(), "blocks ${it.text}") }
+    return events.fold(unchanged()) { step, effect -> step.emit(effect) }
 }
 
 private fun eventOrNull(command: Command, applied: AppliedCommand): RecordTimelineEvent? = when (command) {
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -3,13 +3,17 @@
  */
 package sniperoute.router
 
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Clock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.OnDutyFailure
 import sniperoute.process.duty.startStateDuty
 import sniperoute.process.ring.Ring
 import sniperoute.request.ledger.message.CrashNotice
+import sniperoute.request.ledger.message.InterruptionNotice
 import sniperoute.request.ledger.message.LedgerRequest
+import sniperoute.request.ledger.message.ServedBlocksNotice
 import sniperoute.request.routing.decision.PlacementPolicy
 import sniperoute.request.routing.decision.RoutingState
 import sniperoute.request.routing.decision.step
@@ -73,10 +77,18 @@
         is RequestTokens -> session.offer(RoutingMessageSent(TokenRequest(effect.workspace, effect.tokens)))
         is ReturnTokens -> session.offer(RoutingMessageSent(TokenReturn(effect.workspace, effect.tokens)))
         is ReportWorkload -> session.offer(RoutingMessageSent(effect.report))
-        is ReportCrash -> requestLedger(CrashNotice(effect.endpoint, effect.incarnation, effect.digests))
+        is QuarantineReport -> requestLedger(effect.toNotice())
     }
 }
 
+/** Returns the message by which the control replicas learn of this report. */
+internal fun QuarantineReport.toNotice(): LedgerRequest = when (this) {
+    is ReportCrash -> CrashNotice(endpoint, incarnation, digests)
+    is ReportEndpointGone -> CrashNotice(endpoint, incarnation, persistentListOf())
+    is ReportInterruption -> InterruptionNotice(endpoint, incarnation, blocks.toPersistentList(), hasBegun)
+    is ReportServedBlocks -> ServedBlocksNotice(blocks.toPersistentList())
+}
+
 private fun RoutingEffectHandlers.performAtRun(id: RequestId, effect: RoutingEffect) {
     val run = runs[id] ?: return
     run.onThread { run.perform(effect) }
--- a/request/src/main/kotlin/sniperoute/request/ledger/decision/Ledgers.kt
+++ b/request/src/main/kotlin/sniperoute/request/ledger/decision/Ledgers.kt
@@ -57,7 +57,7 @@
     is FinishCall -> change(request.key, request.owner, Finished(request.answer), now)
     is ReleaseCall -> release(request)
     is MarkCallLost -> change(request.key, request.owner, Lost, now)
-    is CrashNotice -> LedgerStep(this, CallAcknowledged)
+    is CrashNotice, is InterruptionNotice, is ServedBlocksNotice -> LedgerStep(this, CallAcknowledged)
 }
 
 /** Calls on open routes belong to no workspace and are counted together. */
--- a/request/src/main/kotlin/sniperoute/request/ledger/message/LedgerMessages.kt
+++ b/request/src/main/kotlin/sniperoute/request/ledger/message/LedgerMessages.kt
@@ -8,6 +8,7 @@
 import sniperoute.process.codec.SerializableList
 import sniperoute.process.identity.Incarnation
 import sniperoute.process.identity.VmName
+import sniperoute.version.message.BlockId
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.RouteName
@@ -60,6 +61,19 @@
     public val digests: SerializableList<RequestDigest>,
 ) : LedgerRequest
 
+/** The connection to the endpoint broke before the answer to a prompt with [blocks] had any content. */
+@Serializable
+public data class InterruptionNotice(
+    public val endpoint: EndpointName,
+    public val incarnation: String,
+    public val blocks: SerializableList<BlockId>,
+    public val hasBegun: Boolean,
+) : LedgerRequest
+
+/** An endpoint answered a prompt with [blocks]. */
+@Serializable
+public data class ServedBlocksNotice(public val blocks: SerializableList<BlockId>) : LedgerRequest
+
 /** A reply of the ledger. */
 @Serializable
 public sealed interface LedgerReply
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -17,6 +17,7 @@
 import sniperoute.version.message.WorkspaceName
 import sniperoute.version.message.isLimited
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 
 /** Returns the state after each workspace with requests of [service] in the queue requested or returned tokens. */
 internal fun RoutingState.adjustTokensOf(service: ServiceName, now: Timestamp): RoutingStep =
@@ -75,7 +76,7 @@
 private fun RoutingState.refusalOrNull(request: AdmittedRequest, now: Timestamp): Refusal? {
     val workspace = request.workspace
     return when {
-        request.digest in view.catalogue.quarantine -> quarantined()
+        view.catalogue.isQuarantined(request) -> quarantined()
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         request.key != null && request.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
         now < (retries[request.id]?.queueDeadline ?: request.queueDeadline) -> null
@@ -105,5 +106,11 @@
 /** The caller may retry after about as long as the request was allowed to wait here. */
 private fun retryAfter(request: AdmittedRequest): Duration = request.queueDeadline - request.arrived
 
-internal fun quarantined(): Refusal =
-    Refusal(RefusalKind.QUARANTINED, "this request is in quarantine: endpoints crashed while they worked on it")
+internal fun quarantined(): Refusal = Refusal(
+    RefusalKind.QUARANTINED,
+    "this request is in quarantine: endpoints crashed while they worked on it or on prompts with the same blocks",
+    retryAfter = QUARANTINE_RETRY_DELAY,
+)
+
+/** A quarantine lasts for minutes, so a caller gains nothing by trying again soon. */
+private val QUARANTINE_RETRY_DELAY = 1.minutes
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -51,7 +51,7 @@
 
 private fun RoutingState.onTick(policy: PlacementPolicy, now: Timestamp): RoutingStep {
     val checked = if (now - lastDeadlineCheck >= DEADLINE_CHECK_INTERVAL) {
-        copy(lastDeadlineCheck = now, suspects = suspects.withoutExpired(now))
+        copy(lastDeadlineCheck = now, suspects = suspects.withoutExpired(now), servedBlocks = servedBlocks.withoutOld(now))
             .refuseUnservable(now)
             .then { it.adjustAllTokens(now) }
     } else {
@@ -95,7 +95,7 @@
     queues.keys.fold(unchanged()) { step, service -> step.then { it.drain(service, policy, now) } }
 
 private fun RoutingState.onAdmitted(request: AdmittedRequest, policy: PlacementPolicy, now: Timestamp): RoutingStep {
-    if (request.digest in view.catalogue.quarantine) return unchanged().emit(Refuse(request.id, quarantined()))
+    if (view.catalogue.isQuarantined(request)) return unchanged().emit(Refuse(request.id, quarantined()))
     if (!view.isReady(now)) {
         return unchanged().emit(Refuse(request.id, Refusal(RefusalKind.NOT_READY, "this router has no lease")))
     }
@@ -171,17 +171,17 @@
     val run = running[input.id] ?: return unchanged()
     val ended = copy(running = running.remove(input.id)).withEndpoint(run.endpoint) { it.withoutRequest(input.id) }
     val next = when (val result = input.result) {
-        is AttemptCompleted -> ended.onCompleted(run, result, now).unchanged()
+        is AttemptCompleted -> ended.onCompleted(run, result, now)
         is AttemptFailed -> ended.onFailed(run, result, now)
     }
     return next.then { it.drain(run.request.service, policy, now) }
 }
 
-private fun RoutingState.onCompleted(run: RunningRequest, result: AttemptCompleted, now: Timestamp): RoutingState {
+private fun RoutingState.onCompleted(run: RunningRequest, result: AttemptCompleted, now: Timestamp): RoutingStep {
     val settled = copy(retries = retries.remove(run.request.id))
         .withEndpoint(run.endpoint) { it.afterResponse(result.isFault) }
         .refundUnused(run, result, now)
-    return if (result.isFault) settled.addEvidence(run) { it.addFailure() } else settled
+    return if (result.isFault) settled.addEvidence(run) { it.addFailure() }.unchanged() else settled.recordServedBlocks(run.request, now)
 }
 
 private fun RoutingState.refundUnused(run: RunningRequest, result: AttemptCompleted, now: Timestamp): RoutingState {
@@ -201,7 +201,8 @@
         AttemptFailureKind.REJECTED -> judged.withEndpoint(run.endpoint) { it.afterRejection(now) }.unchanged()
         AttemptFailureKind.ELSEWHERE -> judged.withEndpoint(run.endpoint) { it.afterFailure(now) }.unchanged()
         AttemptFailureKind.FAULTED -> judged.withEndpoint(run.endpoint) { it.afterResponse(isFault = true) }.unchanged()
-        AttemptFailureKind.BROKEN -> judged.onBroken(endpoint, run.request.digest, now)
+        AttemptFailureKind.BROKEN ->
+            judged.reportInterruption(run, result, now).then { it.onBroken(endpoint, run.request.digest, now) }
         AttemptFailureKind.SILENT -> judged.withEndpoint(run.endpoint) { it.afterSilence(now) }.unchanged()
         AttemptFailureKind.WRONG -> judged.unchanged()
     }
@@ -224,7 +225,9 @@
 internal fun RoutingState.onCrash(name: EndpointName, now: Timestamp): RoutingStep {
     val endpoint = endpoints[name] ?: return unchanged()
     val ejected = copy(cacheIndex = cacheIndex.removeEndpoint(name)).withEndpoint(name) { it.afterFailure(now).afterCrash(now) }
-    return ejected.chargeCrash(endpoint, endpoint.recentlyBroken(now), now)
+    val charged = ejected.chargeCrash(endpoint, endpoint.recentlyBroken(now), now)
+    val isReported = charged.effects.isNotEmpty() || endpoint.hasJustCrashed(now)
+    return if (isReported) charged else charged.emit(ReportEndpointGone(name, endpoint.incarnation.orEmpty()))
 }
 
 private fun RoutingState.chargeCrash(endpoint: EndpointState, digests: List<RequestDigest>, now: Timestamp): RoutingStep {
@@ -237,7 +240,11 @@
     val isChanged = newView.catalogue.revision != view.catalogue.revision
     val next = copy(view = newView, lastControlContact = now).withTargetWeights(now)
     if (!isChanged) return next.drainAll(policy, now)
-    return next.withKnownEndpoints(now).then { it.refuseUnservable(now) }.then { it.drainAll(policy, now) }
+    return next
+        .withKnownEndpoints(now)
+        .then { it.endQuarantinedAttempts() }
+        .then { it.refuseUnservable(now) }
+        .then { it.drainAll(policy, now) }
 }
 
 private fun RoutingState.withTargetWeights(now: Timestamp): RoutingState {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -19,6 +19,7 @@
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.emptyFleetView
 import sniperoute.version.decision.noEvidenceTable
+import sniperoute.version.message.BlockId
 import sniperoute.version.message.CachedBlocks
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.EndpointWorkload
@@ -67,6 +68,7 @@
  * @property members are the endpoints of each service.
  * @property targetWeights are the latest target weights of each model, the newest last.
  * @property reportedWorkloads are this router's workloads as it last reported them.
+ * @property servedBlocks are the shared blocks of prompts that were answered a short time ago, and when.
  * @property newlyCached are blocks that were computed or saved since the last workload report.
  */
 public data class RoutingState(
@@ -91,6 +93,7 @@
     public val newlyCached: PersistentList<CachedBlocks> = persistentListOf(),
     public val nextWorkloadReport: Timestamp = Timestamp.EARLIEST,
     public val lastControlContact: Timestamp = Timestamp.EARLIEST,
+    public val servedBlocks: PersistentMap<BlockId, Timestamp> = persistentMapOf(),
 )
 
 /**
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -4,9 +4,11 @@
 package sniperoute.request.routing.message
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.version.decision.FleetView
+import sniperoute.version.message.BlockId
 import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetWorkload
@@ -125,9 +127,25 @@
 public val AttemptFailureKind.isNotRun: Boolean
     get() = this == AttemptFailureKind.NOT_RUN || this == AttemptFailureKind.REJECTED || this == AttemptFailureKind.ELSEWHERE
 
+/** How far the answer to a request had got when an attempt ended. */
+public enum class AnswerProgress {
+    /** Nothing was received. */
+    NONE,
+
+    /** The endpoint had begun its answer, without any content. */
+    BEGUN,
+
+    /** Content was received, in this attempt or an earlier one. */
+    CONTENT,
+}
+
 /** The attempt failed. [mayRepeat] is `false` if a response that has begun cannot be resumed, or the caller disconnected. */
-public data class AttemptFailed(public val kind: AttemptFailureKind, public val mayRepeat: Boolean, public val reason: String) :
-    AttemptResult
+public data class AttemptFailed(
+    public val kind: AttemptFailureKind,
+    public val mayRepeat: Boolean,
+    public val reason: String,
+    public val progress: AnswerProgress = AnswerProgress.NONE,
+) : AttemptResult
 
 /** An effect of the routing duty. */
 public sealed interface RoutingEffect
@@ -162,9 +180,26 @@
 /** Report this router's workload at endpoints to the other routers, through the leader. */
 public data class ReportWorkload(public val report: WorkloadReport) : RoutingEffect
 
+/** A report to the control replicas that may begin or end a quarantine. */
+public sealed interface QuarantineReport : RoutingEffect
+
 /** Report to the control replicas that [endpoint] crashed while it worked on [digests]. */
 public data class ReportCrash(
     public val endpoint: EndpointName,
     public val incarnation: String,
     public val digests: PersistentList<RequestDigest>,
-) : RoutingEffect
+) : QuarantineReport
+
+/** Report to the control replicas that [endpoint] is gone or has another incarnation; this router had no request there lately. */
+public data class ReportEndpointGone(public val endpoint: EndpointName, public val incarnation: String) : QuarantineReport
+
+/** Report to the control replicas that the connection to [endpoint] broke before the answer to a prompt with [blocks] had any content. */
+public data class ReportInterruption(
+    public val endpoint: EndpointName,
+    public val incarnation: String,
+    public val blocks: PersistentSet<BlockId>,
+    public val hasBegun: Boolean,
+) : QuarantineReport
+
+/** Report to the control replicas that an endpoint answered a prompt with [blocks], of which some are named by a quarantine. */
+public data class ReportServedBlocks(public val blocks: PersistentSet<BlockId>) : QuarantineReport
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -247,7 +247,10 @@
         recordFailure(failure)
         currentDispatch = null
         dependencies.sendToRouting(
-            AttemptEnded(admitted.id, AttemptFailed(failure.kind, failure.mayRepeat && !isCallerDisconnected, failure.reason)),
+            AttemptEnded(
+                admitted.id,
+                AttemptFailed(failure.kind, failure.mayRepeat && !isCallerDisconnected, failure.reason, failure.progress),
+            ),
         )
     }
 
@@ -281,6 +284,7 @@
     }
 
     private fun giveUp(reason: String) {
+        if (currentDispatch != null) abandonAttempt()
         val outcome = if (mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
         val fault = faultResponse
         when {
@@ -291,6 +295,14 @@
         }
     }
 
+    /** Cancels an attempt that is still in progress; the endpoint may have run the request. */
+    private fun abandonAttempt() {
+        mayHaveRun = true
+        call?.cancel()
+        call = null
+        currentDispatch = null
+    }
+
     /** Ends a run whose outcome is unknown. */
     private fun loseCall(kind: RefusalKind, reason: String) {
         context.ledgerKey?.let {
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -13,6 +13,7 @@
 import sniperoute.connection.endpoint.decision.parse
 import sniperoute.connection.endpoint.message.*
 import sniperoute.connection.http.ResponseHead
+import sniperoute.request.routing.message.AnswerProgress
 import sniperoute.request.routing.message.AttemptFailureKind
 import sniperoute.request.run.message.*
 
@@ -97,13 +98,21 @@
     public val mayRepeat: Boolean,
     public val reason: String,
     public val response: SendResponse? = null,
+    public val progress: AnswerProgress = AnswerProgress.NONE,
 ) : AssemblyEffect
 
 /** An assembly and its effects, in order. */
 public data class AssemblyStep(public val assembly: Assembly, public val effects: PersistentList<AssemblyEffect> = persistentListOf())
 
 private fun Assembly.fail(kind: AttemptFailureKind, reason: String, response: SendResponse? = null): AssemblyStep =
-    AssemblyStep(this, persistentListOf(FailAttempt(kind, delivered == 0L || isResumable, reason, response)))
+    AssemblyStep(this, persistentListOf(FailAttempt(kind, delivered == 0L || isResumable, reason, response, progress)))
+
+private val Assembly.progress: AnswerProgress
+    get() = when {
+        delivered > 0 || contentBytes > 0 -> AnswerProgress.CONTENT
+        head != null -> AnswerProgress.BEGUN
+        else -> AnswerProgress.NONE
+    }
 
 /** Returns the assembly after [event] of the current attempt. */
 public fun Assembly.take(event: CallEvent): AssemblyStep = when (event) {
--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -11,9 +11,13 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import sniperoute.version.message.*
 
-/** What is in force at [revision]; [configuration] is the number of the last accepted configuration. */
+/**
+ * What is in force at [revision]; [configuration] is the number of the last accepted configuration. [blockQuarantines] are sets of
+ * prompt blocks, by the names of their items; a prompt with a whole set must not run.
+ */
 public data class Catalogue(
     public val revision: Long,
     public val configuration: Long,
@@ -25,6 +29,7 @@
     public val quarantine: PersistentSet<RequestDigest>,
     public val limits: CallerLimits? = null,
     public val weights: PersistentMap<ModelName, ModelWeights> = persistentMapOf(),
+    public val blockQuarantines: PersistentMap<String, PersistentSet<BlockId>> = persistentMapOf(),
 )
 
 /** Returns the catalogue in which nothing is in force. */
@@ -54,6 +59,7 @@
     is RouteItem -> copy(routes = routes.without(item.route.name).add(item.route).longestPathFirst())
     is MoveItem -> copy(moves = moves.put(item.move.service, item.move))
     is QuarantineItem -> copy(quarantine = quarantine.add(item.digest))
+    is BlockQuarantineItem -> copy(blockQuarantines = blockQuarantines.put(item.name.text, item.blocks.toPersistentSet()))
     is LimitsItem -> copy(limits = item.limits)
     is ModelWeightsItem -> copy(weights = weights.put(item.weights.model, item.weights))
 }
@@ -65,6 +71,7 @@
     ItemKind.ROUTE -> copy(routes = routes.without(RouteName(name.text)))
     ItemKind.MOVE -> copy(moves = moves.remove(ServiceName(name.text)))
     ItemKind.QUARANTINE -> copy(quarantine = quarantine.remove(RequestDigest(name.text)))
+    ItemKind.BLOCK_QUARANTINE -> copy(blockQuarantines = blockQuarantines.remove(name.text))
     ItemKind.LIMITS -> copy(limits = null)
     ItemKind.MODEL_WEIGHTS -> copy(weights = weights.remove(ModelName(name.text)))
 }
--- a/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
@@ -7,10 +7,11 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import sniperoute.process.clock.Timestamp
+import sniperoute.process.codec.SerializableList
 import sniperoute.process.codec.SerializableMap
 
 /** The kind of an item. */
-public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE, LIMITS, MODEL_WEIGHTS }
+public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE, LIMITS, MODEL_WEIGHTS, BLOCK_QUARANTINE }
 
 /** The name of an item, unique within its kind. */
 @Serializable
@@ -60,6 +61,12 @@
     override val name: ItemName get() = ItemName(ItemKind.QUARANTINE, digest.text)
 }
 
+/** The blocks of prompts that crashed endpoints; no prompt that contains all of them may run. */
+@Serializable
+public data class BlockQuarantineItem(public val blocks: SerializableList<BlockId>) : CatalogueItem {
+    override val name: ItemName get() = ItemName(ItemKind.BLOCK_QUARANTINE, blocks.joinToString("+"))
+}
+
 /** The limits on requests and connections of callers. */
 @Serializable
 public data class LimitsItem(public val limits: CallerLimits) : CatalogueItem {
