Keep the limits that endpoints set on requests over the fleet

Cause: no part of the product read the limit, and a limit that each router kept by itself would be a multiple of it over the fleet.

Change: routers report what answers name to the leader, which grants permits, each to one router. They survive changes of leader and restarts by reports and by a notice to new routers, are bounded by the number of endpoints, and end with the endpoint's word or silence.

--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -81,6 +81,8 @@
     REPORT_UNREAD(708, Severity.WARNING),
     STORE_UP(709, Severity.INFORMATION),
     STORE_DOWN(710, Severity.WARNING),
+    ENDPOINT_LIMITED(711, Severity.WARNING),
+    ENDPOINT_LIMIT_ENDED(712, Severity.INFORMATION),
     MOVE_STARTED(800, Severity.INFORMATION),
     MOVE_WIDENED(801, Severity.INFORMATION),
     MOVE_DONE(802, Severity.INFORMATION),
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -19,9 +19,11 @@
 import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.FleetWorkloads
 import sniperoute.version.decision.Leases
+import sniperoute.version.decision.RequestLimits
 import sniperoute.version.decision.RouterName
 import sniperoute.version.decision.WeightLoads
 import sniperoute.version.decision.noFleetWorkloads
+import sniperoute.version.decision.noRequestLimits
 import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.ServiceName
@@ -106,6 +108,7 @@
     public val workloads: FleetWorkloads = noFleetWorkloads(),
     public val storeIncarnations: PersistentMap<ServiceName, Long> = persistentMapOf(),
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
+    public val limits: RequestLimits,
 )
 
 /**
@@ -158,6 +161,7 @@
     sentLoadCommands = persistentMapOf(),
     lastWeightsReads = persistentMapOf(),
     lastReportedRevision = revision,
+    limits = noRequestLimits(now),
 )
 
 /** A state, and the effects that the duty performs for it. */
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -215,6 +215,7 @@
             linked
                 .updateLeader { copy(returnedTokens = returnedTokens.add(TokenAmount(message.workspace, message.tokens))) }
                 .proposeTokenChanges(now, isDue = false)
+        is RequestLimitReport -> linked.recordRequestLimits(message, now)
         is WorkloadReport -> linked.updateLeader { copy(workloads = workloads.recordReport(input.router, message)) }.unchanged()
         else -> linked.unchanged()
     }
@@ -226,6 +227,7 @@
     status: AgreementStatus,
     now: Timestamp,
 ): ControlStep {
+    val isNewRouter = leaderState?.leases?.routers?.containsKey(input.router) == false
     val renewed = updateLeader {
         copy(
             leases = leases.renew(input.router, request.revision, now),
@@ -249,6 +251,7 @@
         .unchanged()
         .emit(SendSessionReply(input.from, reply))
         .then { it.sendFleetIfStale(input.from, request.fleet) }
+        .then { if (isNewRouter) it.sendRequestLimits(input.from) else it.unchanged() }
         .then { it.recordIfInForceEverywhere(now) }
 }
 
@@ -277,6 +280,7 @@
         .then { it.reconcileMoves(now) }
         .then { it.reconcileFleet(now) }
         .then { it.broadcastWorkloads(now) }
+        .then { it.grantRequestPermits(now) }
 }
 
 private fun ControlDutyState.recordEvents(command: Command, applied: AppliedCommand): ControlStep {
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -76,6 +76,7 @@
         is GiveUp -> performAtRun(effect.id, effect)
         is RequestTokens -> session.offer(RoutingMessageSent(TokenRequest(effect.workspace, effect.tokens)))
         is ReturnTokens -> session.offer(RoutingMessageSent(TokenReturn(effect.workspace, effect.tokens)))
+        is ReportRequestLimits -> session.offer(RoutingMessageSent(effect.report))
         is ReportWorkload -> session.offer(RoutingMessageSent(effect.report))
         is QuarantineReport -> requestLedger(effect.toNotice())
     }
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -27,6 +27,7 @@
 import sniperoute.request.ledger.message.LedgerUnavailable
 import sniperoute.request.routing.message.FleetChanged
 import sniperoute.request.routing.message.FleetWorkloadReceived
+import sniperoute.request.routing.message.RequestLimitsReceived
 import sniperoute.request.routing.message.RouterCountChanged
 import sniperoute.request.routing.message.RoutingInput
 import sniperoute.request.routing.message.ViewChanged
@@ -117,6 +118,7 @@
             is DeliverLedgerReply -> openLedgerRequests.remove(effect.id)?.invoke(effect.reply)
             is ServeFleet -> routing.put(FleetChanged(effect.fleet))
             is DeliverWorkload -> routing.offer(FleetWorkloadReceived(effect.message))
+            is DeliverRequestLimits -> routing.put(RequestLimitsReceived(effect.notice))
             is ShareAllowances -> routing.put(RouterCountChanged(effect.routers))
             is KeepLinks -> reconnectingLinks.setTargets(effect.replicas)
             is DiscoverReplicas -> reconnectingLinks.addTargets(network.seeds())
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -220,6 +220,7 @@
         is RenewReply -> onRenewed(input, message, now)
         is FleetNotice -> onFleetNotice(message, now)
         is FleetWorkload -> unchanged().emit(DeliverWorkload(message))
+        is RequestLimitNotice -> unchanged().emit(DeliverRequestLimits(message))
         is NotLeader ->
             withAddedReplicas(message.members)
                 .then { it.switchLeader(input.replica, message.leader, now) }
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -12,6 +12,7 @@
 import sniperoute.version.decision.FleetView
 import sniperoute.version.message.FleetWorkload
 import sniperoute.version.message.ListedEndpoint
+import sniperoute.version.message.RequestLimitNotice
 import sniperoute.version.message.RouteEvidence
 import sniperoute.version.message.SessionMessage
 
@@ -85,6 +86,9 @@
 /** Delivers the workload of all routers at endpoints to the routing duty. */
 public data class DeliverWorkload(public val message: FleetWorkload) : SessionEffect
 
+/** Delivers the limits of endpoints and this router's permits to the routing duty. */
+public data class DeliverRequestLimits(public val notice: RequestLimitNotice) : SessionEffect
+
 /** Routes by the listed endpoints in [fleet] from now on. */
 public data class ServeFleet(public val fleet: FleetView) : SessionEffect
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -127,7 +127,7 @@
     val names = if (service.isListed) members[service.name].orEmpty() else service.endpoints.map { it.name }
     val usable = names
         .mapNotNull { endpoints[it] }
-        .filter { it.servesNow(service, version, this) && it.isUsable(now) && !isOutdated(it, request, now) }
+        .filter { it.servesNow(service, version, this) && it.isUsable(now) && it.isPermitted(now) && !isOutdated(it, request, now) }
         .filter { !isSuspect || it.ownRequests.values.none(OwnRequest::isSuspect) }
     val failedAt = retries[request.id]?.failedAt ?: return usable
     return usable.filter { it.endpoint.name !in failedAt }.ifEmpty { usable }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -99,7 +99,7 @@
     val release = endpoint.release?.let(::WeightsVersion)
     return copy(
         tokens = paid,
-        endpoints = endpoints.put(name, endpoint.withRequest(request.id, ownRequest)),
+        endpoints = endpoints.put(name, endpoint.withRequest(request.id, ownRequest).usePermit(now)),
         running = running.put(request.id, RunningRequest(request, name, target.weights, attempt, now, release)),
     ).expectCached(request, target, transfer, now)
         .unchanged()
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -65,6 +65,7 @@
  * @property faultRate is a moving average of the share of responses that were faults.
  * @property isReportShared is `true` once the leader has sent the workload of all routers at the endpoint.
  * @property rejections counts rejected requests; a first token resets it.
+ * @property limit bounds the requests that this router may send; `null` while the endpoint takes any number.
  */
 public data class EndpointState(
     public val endpoint: Endpoint,
@@ -86,6 +87,7 @@
     public val faultRate: Double = 0.0,
     public val isReportShared: Boolean = false,
     public val rejections: Int = 0,
+    public val limit: RouterRequestLimit? = null,
 )
 
 /** Returns the weights that serve a request for [model] here, or `null` if they are unknown or there are none. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -94,7 +94,11 @@
     val usable = known.filter { it.isUsable(now) && !isOutdated(it, request, now) }
     val shortest = usable.minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
     return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, " +
-        "${known.count { it.isChanging }} changing weights, shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
+        "${known.count { it.isChanging }} changing weights, ${known.count {
+            !it.isPermitted(
+                now,
+            )
+        }} at their request limit, shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
 }
 
 private fun RoutingState.overRateMessage(workspace: WorkspaceName, request: AdmittedRequest, now: Timestamp): String {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -43,7 +43,8 @@
     is CacheChanged -> onCacheChanged(input, now).unchanged()
     is EndpointStreamLost -> onCrash(input.endpoint, now)
     is EndpointsLeaving -> onEndpointsLeaving(input).unchanged()
-    is ResponseHeadReceived -> onHead(input, now).unchanged()
+    is ResponseHeadReceived -> onHead(input, now)
+    is RequestLimitsReceived -> onRequestLimits(input.notice, now).drainAll(policy, now)
     is FleetChanged -> onFleet(input.fleet, policy, now)
     is RouterCountChanged -> copy(routers = input.routers).unchanged()
     is FleetWorkloadReceived -> onFleetWorkload(input, now).drainAll(policy, now)
@@ -58,17 +59,20 @@
         unchanged()
     }
     return checked
-        .then { it.accrueAlone(now).unchanged() }
+        .then { it.accrueAlone(now).accruePermitsAlone(now).unchanged() }
         .then { it.drainAll(policy, now) }
         .then { it.reportWorkload(now) }
+        .then { it.reportLimits(now) }
 }
 
 /** After this time without contact with the control replicas, a router acts alone: two lease renewals got no reply. */
 private val CONTROL_TIMEOUT = 900.milliseconds
 
+/** Whether this router has no contact with the control replicas. */
+internal fun RoutingState.isWithoutControl(now: Timestamp): Boolean = now >= lastControlContact + CONTROL_TIMEOUT
+
 /** Whether this router accrues its own share of each rate, because it has no contact with the control replicas. */
-internal fun RoutingState.accruesAlone(now: Timestamp): Boolean =
-    settings.accruesWithoutControl && now >= lastControlContact + CONTROL_TIMEOUT
+internal fun RoutingState.accruesAlone(now: Timestamp): Boolean = settings.accruesWithoutControl && isWithoutControl(now)
 
 /**
  * Adds tokens while the router acts alone. No leader grants tokens to a router that has no contact with it, and fleet time stands still
@@ -139,11 +143,15 @@
         .addEvidence(run) { it.addResponse((now - run.started).toDouble(DurationUnit.MILLISECONDS)) }
 }
 
-/** Takes over the weights and the load in the head of a response. The weights there are newer than those in any list. */
-private fun RoutingState.onHead(input: ResponseHeadReceived, now: Timestamp): RoutingState {
-    val run = running[input.id] ?: return this
-    val load = input.load
-    return withEndpoint(run.endpoint) { endpoint ->
+/** Takes over what the head of a response reports. The weights there are newer than those in any list. */
+private fun RoutingState.onHead(input: ResponseHeadReceived, now: Timestamp): RoutingStep {
+    val run = running[input.id] ?: return unchanged()
+    val named = input.load.limit ?: return withLoad(run, input.load, now).unchanged()
+    return withLoad(run, input.load, now).onNamedLimit(run.endpoint, named, now)
+}
+
+private fun RoutingState.withLoad(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState =
+    withEndpoint(run.endpoint) { endpoint ->
         val model = run.request.model
         val weights = load.weights
         val modelWeights = if (model == null || weights == null) endpoint.modelWeights else endpoint.modelWeights.put(model, weights)
@@ -156,7 +164,6 @@
             report = if (endpoint.hasSharedReport(now)) endpoint.report else report ?: endpoint.report,
         )
     }
-}
 
 /** The prompt tokens that are assumed for each request that waits at an endpoint, where only the number of requests is known. */
 private const val ASSUMED_PROMPT_TOKENS = 1_000L
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -94,6 +94,7 @@
     public val nextWorkloadReport: Timestamp = Timestamp.EARLIEST,
     public val lastControlContact: Timestamp = Timestamp.EARLIEST,
     public val servedBlocks: PersistentMap<BlockId, Timestamp> = persistentMapOf(),
+    public val nextLimitReport: Timestamp = Timestamp.EARLIEST,
 )
 
 /**
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -13,6 +13,8 @@
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetWorkload
 import sniperoute.version.message.RequestDigest
+import sniperoute.version.message.RequestLimitNotice
+import sniperoute.version.message.RequestLimitReport
 import sniperoute.version.message.StoreAddress
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkloadReport
@@ -41,11 +43,15 @@
 public data class TokensGranted(public val workspace: WorkspaceName, public val tokens: Long, public val retryAfter: Duration) :
     RoutingInput
 
-/** Load and weights that an endpoint reports in the head of a response; `null` where it reports nothing. */
+/** The requests a second that an endpoint says it takes from all routers together; `null` when it takes any number. */
+public data class NamedLimit(public val perSecond: Double?)
+
+/** Load, weights and limit that an endpoint reports in the head of a response; `null` where it reports nothing. */
 public data class ResponseLoadReport(
     public val running: Int? = null,
     public val waiting: Int? = null,
     public val weights: WeightsVersion? = null,
+    public val limit: NamedLimit? = null,
 )
 
 /** The head of a response was received. */
@@ -57,6 +63,9 @@
 /** The leader sent the workload of all routers together, and the prompt blocks that their requests computed. */
 public data class FleetWorkloadReceived(public val message: FleetWorkload) : RoutingInput
 
+/** The leader sent the limits of endpoints and this router's permits for them. */
+public data class RequestLimitsReceived(public val notice: RequestLimitNotice) : RoutingInput
+
 /** The number of routers that share the fleet's allowances changed. */
 public data class RouterCountChanged(public val routers: Int) : RoutingInput
 
@@ -180,6 +189,9 @@
 /** Report this router's workload at endpoints to the other routers, through the leader. */
 public data class ReportWorkload(public val report: WorkloadReport) : RoutingEffect
 
+/** Report to the leader the limits that endpoints named in their last answers to this router. */
+public data class ReportRequestLimits(public val report: RequestLimitReport) : RoutingEffect
+
 /** A report to the control replicas that may begin or end a quarantine. */
 public sealed interface QuarantineReport : RoutingEffect
 
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -57,6 +57,32 @@
 @SerialName("sniperoute.version.message.HeldParts")
 public data class CachedBlocks(public val endpoint: EndpointName, public val keys: SerializableList<Long>)
 
+/**
+ * The requests a second that an endpoint takes from all routers together; `null` when it takes any number. An answer named it
+ * [ageMilliseconds] ago.
+ */
+@Serializable
+public data class RequestLimit(public val endpoint: EndpointName, public val perSecond: Double?, public val ageMilliseconds: Long = 0)
+
+/** A number of requests that a router may send to an endpoint with a limit. */
+@Serializable
+public data class RequestPermits(public val endpoint: EndpointName, public val count: Int)
+
+/**
+ * Notifies a router of the [limits] of endpoints, and grants it [permits] for them. When [isComplete], no other endpoint has a limit.
+ * Each grant is in one message only; if the message is lost, the permits are lost.
+ */
+@Serializable
+public data class RequestLimitNotice(
+    public val isComplete: Boolean,
+    public val limits: SerializableList<RequestLimit>,
+    public val permits: SerializableList<RequestPermits>,
+) : SessionMessage
+
+/** Reports to the leader the limits that endpoints named or ended in their last answers to this router. */
+@Serializable
+public data class RequestLimitReport(public val limits: SerializableList<RequestLimit>) : SessionMessage
+
 /** Reports to the leader the router's workload at the endpoints where it changed, and the cache blocks computed for its requests. */
 @Serializable
 @SerialName("sniperoute.version.message.WorkNote")
