Compare releases by ranks over all routes, and never widen for want of evidence

Cause: each route was compared by itself from twenty first tokens on, and a canary without so many passed. Evidence began anew with the last step, so nothing was compared after it.

Change: first-token times are ranked against those of the old version and added up over routes; all requests need enough responses; the evidence counts from the start of the move. The test of a good release gave the new version no response at all and expected it to be done, which is the fault itself; it has ten good responses now, with the same bounds on shares and time.

Evidence: both new tests of FleetTest failed before (the slow release was not rolled back; one with three responses got all requests).

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/MoveReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/MoveReconciliation.kt
@@ -28,23 +28,34 @@
 
 private fun ControlDutyState.reconcile(move: Move, now: Timestamp): ControlStep {
     val service = replicatedState.serviceOrNull(move.service) ?: return unchanged()
-    return withBaseline(move, now)
+    return withBaseline(move, service.isListed, now)
         .advance(move, service, now)
         .then { it.readWeights(move, service, now) }
         .then { it.loadAssignedWeights(move, service, now) }
 }
 
-/** Takes a new baseline when the share of [move] changed or this leader has none: a step is judged by evidence since its start. */
-private fun ControlDutyState.withBaseline(move: Move, now: Timestamp): ControlDutyState {
+/**
+ * Takes a new baseline when the share of [move] changed or this leader has none: a step is judged by evidence since its start. A release
+ * is judged by all evidence since its move began: after its last step, its responses are compared with those of the old one before it.
+ */
+private fun ControlDutyState.withBaseline(move: Move, isRelease: Boolean, now: Timestamp): ControlDutyState {
     val leader = leaderState ?: return this
     val baseline = leader.baselines[move.service]
-    if (baseline != null && baseline.share == move.share) return this
-    val total = leader.evidence.values
-        .toList()
-        .total()
-    return updateLeader { copy(baselines = baselines.put(move.service, MoveBaseline(move.share, move.fence, now, total))) }
+    if (baseline != null && baseline.share == move.share && (!isRelease || baseline.fence == move.fence)) return this
+    val evidence = when {
+        !isRelease -> leader.totalEvidence()
+        baseline?.fence == move.fence -> baseline.evidence
+        now - Timestamp(move.startedMicroseconds) < MAX_START_LAG -> leader.totalEvidence()
+        else -> noEvidenceTable()
+    }
+    return updateLeader { copy(baselines = baselines.put(move.service, MoveBaseline(move.share, move.fence, now, evidence))) }
 }
 
+/** A leader that first sees a release later than this after its start was elected since, and counts all evidence that routers have. */
+private val MAX_START_LAG = 1_000.milliseconds
+
+private fun LeaderState.totalEvidence(): EvidenceTable = evidence.values.toList().total()
+
 private fun ControlDutyState.advance(move: Move, service: Service, now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
     val baseline = leader.baselines.getValue(move.service)
@@ -54,9 +65,7 @@
         move.from,
         move.to,
         baseline.evidence,
-        leader.evidence.values
-            .toList()
-            .total(),
+        leader.totalEvidence(),
     )
     val observation = MoveObservation(baseline.started, leader.servedWeights.toImmutableMap(), evidence)
     val decision = if (service.isListed) decideRelease(move, observation, now) else decideMove(move, service, observation, now)
--- a/version/src/main/kotlin/sniperoute/version/decision/Evidence.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Evidence.kt
@@ -14,7 +14,9 @@
 import sniperoute.version.message.RouteName
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
+import java.util.Locale
 import kotlin.math.log2
+import kotlin.math.sqrt
 
 /** The number of buckets in the histogram of first-token times; the last one holds all longer times. */
 public const val FIRST_TOKEN_BUCKETS: Int = 64
@@ -83,6 +85,56 @@
  */
 public fun RouteComparison.isSufficient(): Boolean = old.total() == 0L || new.total() >= MIN_REQUESTS_TO_WIDEN
 
+/**
+ * Returns why the new version is slower than the old one over all routes, or `null` when the evidence does not show it. The test needs
+ * few responses, since it adds up what all routes say: the ranks of the new version's first-token times among those of the old version
+ * on the same route.
+ *
+ * Source: P. van Elteren, "On the combination of independent two-sample tests of Wilcoxon", 1960.
+ */
+public fun List<RouteComparison>.slownessOrNull(): String? {
+    val comparable = filter { it.old.answered >= MIN_OLD_RESPONSES_TO_RANK && it.new.answered > 0 }
+    val responses = comparable.sumOf { it.new.answered }
+    val deviation = comparable.sumOf { it.rankExcess() } / sqrt(comparable.sumOf { it.rankVariance() })
+    return if (responses >= MIN_NEW_RESPONSES_TO_RANK && deviation >= SLOWNESS_DEVIATIONS) {
+        "$responses first tokens take longer than with the old version, by ${"%.1f".format(Locale.ROOT, deviation)} standard deviations"
+    } else {
+        null
+    }
+}
+
+private const val MIN_OLD_RESPONSES_TO_RANK = 10
+private const val MIN_NEW_RESPONSES_TO_RANK = 6
+
+/** The least deviation of the rank sum, in standard deviations, that shows a slower version although the test is repeated often. */
+private const val SLOWNESS_DEVIATIONS = 3.5
+
+/**
+ * Returns by how much the number of pairs in which the new version's response is the slower one exceeds half of all pairs. The old
+ * version's times count as longer by [SLOWER_BUCKETS], so that only a version that is slower by more than that stands out.
+ */
+private fun RouteComparison.rankExcess(): Double {
+    val oldUpTo = old.buckets.runningFold(0L, Long::plus)
+    val slowerPairs = new.buckets.withIndex().sumOf { (bucket, count) ->
+        val shifted = bucket - SLOWER_BUCKETS
+        val faster = if (shifted < 0) 0L else oldUpTo[shifted]
+        val equal = if (shifted < 0) 0L else old.buckets[shifted]
+        count * (faster + equal * HALF)
+    }
+    return slowerPairs - new.answered * old.answered * HALF
+}
+
+/** The variance of the number of such pairs when both versions are equally fast, without the correction for equal times. */
+private fun RouteComparison.rankVariance(): Double =
+    new.answered.toDouble() * old.answered * (new.answered + old.answered + 1) / RANK_VARIANCE_DIVISOR
+
+private const val RANK_VARIANCE_DIVISOR = 12.0
+private const val HALF = 0.5
+
+/** Returns whether the new version has served enough requests to get all of them, or whether the old version got none to compare with. */
+public fun List<RouteComparison>.isSufficientForWholeShare(): Boolean =
+    sumOf { it.old.total() } == 0L || sumOf { it.new.total() } >= MIN_NEW_RESPONSES_TO_RANK
+
 private fun EvidenceSum.total(): Long = answered + failed
 
 private fun EvidenceSum.failureRate(): Double = if (total() == 0L) 0.0 else failed.toDouble() / total()
--- a/version/src/main/kotlin/sniperoute/version/decision/Releases.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Releases.kt
@@ -1,7 +1,8 @@
 /**
  * Moves of a listed service to another release of its software. The platform starts the endpoints of the new release beside the old
- * ones. The new release gets a small canary share of the requests for most of the time allowed, then all of them, and is rolled back at
- * once when the evidence shows a regression. The move is done when the old endpoints have had time to drain.
+ * ones. The new release gets a small canary share of the requests for most of the time allowed, then all of them if there is enough
+ * evidence, and is rolled back at once when the evidence shows a regression. The move is done when the old endpoints have had time to
+ * drain.
  */
 package sniperoute.version.decision
 
@@ -19,7 +20,7 @@
 private const val CANARY_SHARE = 70
 private const val WHOLE_SHARE = 1_000
 
-/** The part of the time allowed during which a release is a canary. */
+/** The part of the time allowed during which a release is a canary, at least. */
 private const val CANARY_PART = 0.6
 
 /** How long the old endpoints get to drain before the move is done: the platform stops them as soon as it is. */
@@ -50,17 +51,26 @@
 
 /** Returns the decision about [move] at [now]. */
 public fun decideRelease(move: Move, observation: MoveObservation, now: Timestamp): MoveDecision {
-    val regression = observation.evidence.firstNotNullOfOrNull { it.regressionOrNull() }
-    val started = Timestamp(move.startedMicroseconds)
-    val allowed = (move.deadlineMicroseconds - move.startedMicroseconds).microseconds
+    val regression = observation.evidence.firstNotNullOfOrNull { it.regressionOrNull() } ?: observation.evidence.slownessOrNull()
     return when {
         !move.isRunning -> NoMoveChange
         move.stage == MoveStage.TAKING_BACK -> MoveTransition(MoveStage.TAKEN_BACK, 0, move.assigned, move.reason)
         regression != null -> MoveTransition(MoveStage.TAKING_BACK, 0, move.assigned, regression)
-        move.share < WHOLE_SHARE && now - started >= allowed * CANARY_PART ->
-            MoveTransition(MoveStage.WIDENING, WHOLE_SHARE, move.assigned, "the canary showed no regression")
-        move.share == WHOLE_SHARE && now - observation.stepStarted >= DRAIN_TIME ->
+        move.share < WHOLE_SHARE -> decideCanary(move, observation, now)
+        now - observation.stepStarted >= DRAIN_TIME ->
             MoveTransition(MoveStage.DONE, WHOLE_SHARE, move.assigned, "the old endpoints have drained")
         else -> NoMoveChange
     }
 }
+
+/** A canary gets all requests when enough of them showed no regression, never for want of evidence. */
+private fun decideCanary(move: Move, observation: MoveObservation, now: Timestamp): MoveDecision {
+    val allowed = (move.deadlineMicroseconds - move.startedMicroseconds).microseconds
+    val elapsed = now - Timestamp(move.startedMicroseconds)
+    return when {
+        elapsed >= allowed -> MoveTransition(MoveStage.TAKING_BACK, 0, move.assigned, "the deadline passed without enough evidence")
+        elapsed >= allowed * CANARY_PART && observation.evidence.isSufficientForWholeShare() ->
+            MoveTransition(MoveStage.WIDENING, WHOLE_SHARE, move.assigned, "the canary showed no regression")
+        else -> NoMoveChange
+    }
+}
--- a/version/src/test/kotlin/sniperoute/version/FleetTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/FleetTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.property.checkAll
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import sniperoute.process.clock.Timestamp
@@ -114,6 +115,38 @@
         persistentListOf(RouteComparison(RouteName("r"), (1..50).fold(noEvidence()) { all, _ -> all.addResponse(10.0) }, new)),
     )
 
+    private fun responses(count: Int, milliseconds: Double) =
+        (1..count).fold(noEvidence()) { all, number -> all.addResponse(milliseconds * (1 + number % 5)) }
+
+    private fun observed(vararg comparisons: RouteComparison) =
+        MoveObservation(Timestamp(1_000_000), persistentMapOf(), comparisons.toList().toPersistentList())
+
+    @Test
+    fun `a release that is several times slower is rolled back after few responses, however they are spread over routes`() {
+        val start = Timestamp(1_000_000)
+        val move = startRelease(service, WeightsVersion("v1"), WeightsVersion("v2"), 15.seconds, start, 1)
+        val slow = List(4) { RouteComparison(RouteName("r$it"), responses(60, 20.0 * (it + 1)), responses(4, 80.0 * (it + 1))) }
+        expectThat((decideRelease(move, observed(*slow.toTypedArray()), start + 4.seconds) as MoveTransition).stage)
+            .isEqualTo(MoveStage.TAKING_BACK)
+        val equal = List(4) { RouteComparison(RouteName("r$it"), responses(60, 20.0 * (it + 1)), responses(4, 20.0 * (it + 1))) }
+        expectThat(decideRelease(move, observed(*equal.toTypedArray()), start + 4.seconds)).isEqualTo(NoMoveChange)
+    }
+
+    @Test
+    fun `a release without enough responses does not get all requests`() {
+        val start = Timestamp(1_000_000)
+        var move = startRelease(service, WeightsVersion("v1"), WeightsVersion("v2"), 15.seconds, start, 1)
+        val scarce = observed(RouteComparison(RouteName("r"), responses(60, 20.0), responses(3, 20.0)))
+        val shares = mutableListOf<Int>()
+        repeat(320) { round ->
+            val decision = decideRelease(move, scarce, start + 50.milliseconds * round) as? MoveTransition ?: return@repeat
+            move = move.applyTransition(decision, 1)
+            shares += move.share
+        }
+        expectThat(shares.filter { it > 70 }).isEqualTo(emptyList())
+        expectThat(move.stage).isEqualTo(MoveStage.TAKEN_BACK)
+    }
+
     @Test
     fun `a good release is done in time, and gets no more than the canary share before it gets all requests`() {
         val start = Timestamp(1_000_000)
@@ -122,7 +155,8 @@
         val shares = mutableListOf(move.share)
         repeat(240) { round ->
             val now = start + 50.milliseconds * round
-            val decision = decideRelease(move, observation(stepStarted), now) as? MoveTransition ?: return@repeat
+            val good = (1..10).fold(noEvidence()) { all, _ -> all.addResponse(10.0) }
+            val decision = decideRelease(move, observation(stepStarted, good), now) as? MoveTransition ?: return@repeat
             if (decision.share != move.share) stepStarted = now
             move = move.applyTransition(decision, 1)
             shares += move.share
