Count a request that its caller gave up on late as evidence of slowness

Cause: a cancelled request without a first token left no evidence, so a version that is slow enough for callers to give up looked untested.

Change: one that is cancelled after its route's objective counts as a first token of that time.

Measured: the new test of ListedRoutingTest counts no response without the change by construction (nothing recorded cancellations); it passes with it.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -128,10 +128,21 @@
         running = running.remove(id),
         retries = retries.remove(id),
         queues = queues.without(id),
-    ).let { state -> if (run == null) state else state.withEndpoint(run.endpoint) { it.withoutRequest(id) } }
+    ).let { state -> if (run == null) state else state.addLateness(run, now).withEndpoint(run.endpoint) { it.withoutRequest(id) } }
     return if (service == null) next.unchanged() else next.drain(service, policy, now)
 }
 
+/**
+ * Counts a cancelled request that had no first token by its route's objective as a response of that time: callers give up on a slow
+ * version, and would leave no evidence against it.
+ */
+private fun RoutingState.addLateness(run: RunningRequest, now: Timestamp): RoutingState {
+    val elapsed = now - run.started
+    val hasFirstToken = endpoints[run.endpoint]?.ownRequests?.get(run.request.id)?.hasFirstToken ?: false
+    val isLate = elapsed >= run.request.route.objectiveMilliseconds.milliseconds
+    return if (hasFirstToken || !isLate) this else addEvidence(run) { it.addResponse(elapsed.toDouble(DurationUnit.MILLISECONDS)) }
+}
+
 private fun PersistentMap<ServiceName, FairQueue>.without(id: RequestId) =
     entries.fold(this) { all, (service, queue) ->
         if (queue.requests().any { it.request.id == id }) all.put(service, queue.without(setOf(id))) else all
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -274,6 +274,22 @@
         expectThat(sent).isLessThanOrEqualTo(20 * 10_000L + 10_000 + 9_000)
     }
 
+    @Test
+    fun `a request that its caller gives up on after the objective is evidence of a slow version`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a")))
+        router.send("1")
+        router.send("2")
+        router.wait(200)
+        router.input(RequestCancelled(RequestId("1")))
+        router.wait(800)
+        router.input(RequestCancelled(RequestId("2")))
+        expectThat(
+            router.state.evidence.values
+                .sumOf { it.answered },
+        ).isEqualTo(1)
+    }
+
     @Test
     fun `an endpoint that is removed from the list gets no requests`() {
         val router = ListedDriver()
