Fail a stream of bytes that are no events instead of passing it on

Callers would see: a success without end, until their deadline, where an endpoint in trouble sends lines that are no events.

Cause: an event without id and data was delivered like one with content, and comments were not bounded; only a single event was.

--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -30,6 +30,7 @@
  * @property isResumable is `true` while the last of them had an ID, or there are none.
  * @property head is that of the current attempt, as are [isStream], [isFault], [stream], [content] and [contentBytes].
  * @property isFault is `true` if the current response is an error of the endpoint.
+ * @property bytesWithoutContent are the bytes of the current attempt's stream since its last event with content.
  * @property isDone is `true` after the end of the response.
  * @property hasStarted is `true` once the head of a streamed response was sent to the caller.
  */
@@ -48,6 +49,7 @@
     public val isDone: Boolean,
     public val hasStarted: Boolean,
     public val deliveredBefore: Long = 0,
+    public val bytesWithoutContent: Long = 0,
 )
 
 /** Returns the assembly of a response before its first attempt. */
@@ -76,6 +78,7 @@
     content = persistentListOf(),
     contentBytes = 0,
     deliveredBefore = delivered,
+    bytesWithoutContent = 0,
 )
 
 /** An effect of the assembly. */
@@ -152,13 +155,18 @@
 
 private fun Assembly.onStreamContent(bytes: ByteArray): AssemblyStep {
     val step = stream.parse(bytes)
-    val start = AssemblyStep(copy(stream = step.state))
+    val start = AssemblyStep(copy(stream = step.state, bytesWithoutContent = bytesWithoutContent + bytes.size))
     if (step.isTooLong) return start.assembly.fail(AttemptFailureKind.WRONG, "an event of the stream is too long")
-    return step.events.fold(start) { current, event ->
+    val next = step.events.fold(start) { current, event ->
         if (current.effects.any { it is FailAttempt }) current else current.then { it.onEvent(event) }
     }
+    val hasContent = next.assembly.bytesWithoutContent <= MAX_BYTES_WITHOUT_CONTENT || next.effects.any { it is FailAttempt }
+    return if (hasContent) next else next.then { it.fail(AttemptFailureKind.WRONG, "the stream goes on without content") }
 }
 
+/** The upper bound on comments and other bytes between two events with content. */
+private const val MAX_BYTES_WITHOUT_CONTENT = 1024 * 1024
+
 private fun AssemblyStep.then(step: (Assembly) -> AssemblyStep): AssemblyStep {
     val next = step(assembly)
     return AssemblyStep(next.assembly, effects.addAll(next.effects))
@@ -175,7 +183,14 @@
 }
 
 private fun Assembly.deliver(event: ServerSentEvent, content: ContentEvent): AssemblyStep {
-    val next = copy(delivered = delivered + 1, lastId = content.id, isResumable = content.id != null, usage = content.usage ?: usage)
+    val next =
+        copy(
+            delivered = delivered + 1,
+            lastId = content.id,
+            isResumable = content.id != null,
+            usage = content.usage ?: usage,
+            bytesWithoutContent = 0,
+        )
     val first = if (delivered == 0L) persistentListOf<AssemblyEffect>(ReportFirstToken) else persistentListOf()
     return AssemblyStep(next, first.add(SendContent(event.bytes)))
 }
