Look for quarantines to publish only while there are any

Cause: each token command compared all published items with the quarantines of blocks, also while there were none.

Change: without a quarantine before and after, nothing is compared. Found in reading; behaviour is the same, the tests pass.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -264,6 +264,7 @@
 
 /** Returns the state with the block history [next]; the quarantines that it holds at [now] are published. */
 private fun ControlState.withBlocks(next: BlockHistory, result: CommandResult, now: Timestamp): AppliedCommand {
+    if (blocks.quarantines.isEmpty() && next.quarantines.isEmpty()) return AppliedCommand(copy(blocks = next), result)
     val items = next.quarantinedAt(now).map { BlockQuarantineItem(it.sorted().toPersistentList()) }
     val names = items.map { it.name }.toSet()
     val before = quarantinedBlocks()
