--- a/programs/control/src/main/kotlin/sniperoute/control/decision/RequestLimiting.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/RequestLimiting.kt
@@ -18,6 +18,7 @@
 import sniperoute.version.decision.record
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.RequestLimitReport
+import sniperoute.version.message.ServiceName
 
 internal fun ControlDutyState.recordRequestLimits(report: RequestLimitReport, now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
@@ -44,20 +45,17 @@
 
 /** Returns how many requests [router] has in flight at endpoints of the service of [endpoint]. */
 private fun LeaderState.demand(router: RouterName, endpoint: EndpointName): Int {
-    val service = fleet
-        ?.endpoints
-        ?.get(endpoint)
-        ?.listed
-        ?.service
-    val workloads = workloads.byRouter[router]?.values.orEmpty()
-    return workloads
-        .filter {
-            fleet
-                ?.endpoints
-                ?.get(it.endpoint)
-                ?.listed
-                ?.service == service
-        }.sumOf { it.running }
+    val service = serviceOfOrNull(endpoint)
+    return workloads.byRouter[router]
+        ?.values
+        .orEmpty()
+        .filter { serviceOfOrNull(it.endpoint) == service }
+        .sumOf { it.running }
+}
+
+private fun LeaderState.serviceOfOrNull(endpoint: EndpointName): ServiceName? {
+    val known = fleet?.endpoints ?: return null
+    return known[endpoint]?.listed?.service
 }
 
 /** Records in the time line which limits begin and end with [limits]. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/BlockSuspicions.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/BlockSuspicions.kt
@@ -58,7 +58,7 @@
 /** Returns the state after the attempts of prompts with blocks in quarantine were ended, as far as no content has been received. */
 internal fun RoutingState.endQuarantinedAttempts(): RoutingStep {
     if (view.catalogue.blockQuarantines.isEmpty()) return unchanged()
-    val ended = running.values.filter { run -> view.catalogue.hasQuarantinedBlocks(run.request) && !hasContent(run) }
+    val ended = running.values.filter { run -> view.catalogue.hasQuarantinedBlocks(run.request) && !hasFirstToken(run) }
     return ended.fold(unchanged()) { step, run ->
         step.then { state ->
             val id = run.request.id
@@ -70,6 +70,3 @@
         }
     }
 }
-
-private fun RoutingState.hasContent(run: RunningRequest): Boolean =
-    endpoints[run.endpoint]?.ownRequests?.get(run.request.id)?.hasFirstToken ?: false
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -93,12 +93,10 @@
     val known = members[request.service].orEmpty().mapNotNull { endpoints[it] }
     val usable = known.filter { it.isUsable(now) && !isOutdated(it, request, now) }
     val shortest = usable.minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
-    return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, " +
-        "${known.count { it.isChanging }} changing weights, ${known.count {
-            !it.isPermitted(
-                now,
-            )
-        }} at their request limit, shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
+    val changing = known.count { it.isChanging }
+    val limited = known.count { !it.isPermitted(now) }
+    return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, $changing changing weights, " +
+        "$limited at their request limit, shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
 }
 
 private fun RoutingState.overRateMessage(workspace: WorkspaceName, request: AdmittedRequest, now: Timestamp): String {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
@@ -44,17 +44,10 @@
 internal fun EndpointState.isPermitted(now: Timestamp): Boolean = limit == null || limit.permits.any { now < it }
 
 /** Returns the endpoint after a request was sent there at [now], which uses the permit that expires first. */
-internal fun EndpointState.usePermit(now: Timestamp): EndpointState =
-    copy(
-        limit = limit?.let {
-            it.copy(
-                permits = it.permits
-                    .valid(now)
-                    .drop(1)
-                    .toPersistentList(),
-            )
-        },
-    )
+internal fun EndpointState.usePermit(now: Timestamp): EndpointState {
+    val rest = limit?.permits?.valid(now)?.drop(1) ?: return this
+    return copy(limit = limit.copy(permits = rest.toPersistentList()))
+}
 
 private fun List<Timestamp>.valid(now: Timestamp): List<Timestamp> = filter { now < it }
 
@@ -120,14 +113,8 @@
 internal fun RoutingState.reportLimits(now: Timestamp): RoutingStep {
     if (now < nextLimitReport) return unchanged()
     val next = copy(nextLimitReport = now + REPORT_INTERVAL)
-    val known = endpoints.values.mapNotNull { it.namedLimitOrNull(now) }
-    return if (known.isEmpty()) {
-        next.unchanged()
-    } else {
-        next.unchanged().emit(
-            ReportRequestLimits(RequestLimitReport(known.toPersistentList())),
-        )
-    }
+    val known = endpoints.values.mapNotNull { it.namedLimitOrNull(now) }.toPersistentList()
+    return if (known.isEmpty()) next.unchanged() else next.unchanged().emit(ReportRequestLimits(RequestLimitReport(known)))
 }
 
 private fun EndpointState.namedLimitOrNull(now: Timestamp): RequestLimit? =
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -138,9 +138,8 @@
  */
 private fun RoutingState.addLateness(run: RunningRequest, now: Timestamp): RoutingState {
     val elapsed = now - run.started
-    val hasFirstToken = endpoints[run.endpoint]?.ownRequests?.get(run.request.id)?.hasFirstToken ?: false
     val isLate = elapsed >= run.request.route.objectiveMilliseconds.milliseconds
-    return if (hasFirstToken || !isLate) this else addEvidence(run) { it.addResponse(elapsed.toDouble(DurationUnit.MILLISECONDS)) }
+    return if (hasFirstToken(run) || !isLate) this else addEvidence(run) { it.addResponse(elapsed.toDouble(DurationUnit.MILLISECONDS)) }
 }
 
 private fun PersistentMap<ServiceName, FairQueue>.without(id: RequestId) =
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -159,6 +159,10 @@
     return copy(endpoints = endpoints.put(name, change(endpoint)))
 }
 
+/** Whether the first content of the answer to [run] has been received. */
+internal fun RoutingState.hasFirstToken(run: RunningRequest): Boolean =
+    endpoints[run.endpoint]?.ownRequests?.get(run.request.id)?.hasFirstToken ?: false
+
 internal fun RoutingState.queueOf(service: ServiceName): FairQueue = queues[service] ?: emptyFairQueue()
 
 internal fun noFailedEndpoints(): PersistentSet<EndpointName> = persistentSetOf()
