Count what stands against a request without a free slot, and what a leader turns away

A refusal for want of a free slot named the usable endpoints and the shortest queue. The reason now also counts the endpoints with a free slot, the ejected ones, and the requests in flight by this router and by others.

Control replicas count the messages of routers that they answered with "not the leader" (sniperoute_session_refused): such a message has no effect, and nothing showed how many there are.

--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -35,9 +35,11 @@
 import sniperoute.version.codec.decodeSessionMessage
 import sniperoute.version.codec.encode
 import sniperoute.version.decision.RouterName
+import sniperoute.version.message.NotLeader
 import sniperoute.version.message.SessionMessage
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.LongAdder
 
 /**
  * The open links. A message that finds its ring full is dropped, since both protocols retransmit what matters. Agreement messages are
@@ -54,6 +56,10 @@
     private val routers = ConcurrentHashMap<LinkId, PeerLink>()
     private val routerLinkIds = ConcurrentHashMap<PeerLink, LinkId>()
     private val lastLinkId = AtomicLong()
+    private val notLeaderReplies = LongAdder()
+
+    /** The number of router messages that were answered with [NotLeader], and so had no effect. */
+    val notLeaderReplyCount: Long get() = notLeaderReplies.sum()
 
     /** The links to other replicas that this one keeps open. */
     val reconnectingLinks = noReconnectingLinks(dial, dialerHandlers())
@@ -89,6 +95,7 @@
 
     /** Sends [message] to the router at [to]; drops it when the link is closed. */
     fun reply(to: ReplyAddress, message: SessionMessage) {
+        if (message is NotLeader) notLeaderReplies.increment()
         routers[to.link]?.send(envelope(EnvelopeChannel.SESSION, to.correlation, message.encode()))
     }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -232,6 +232,10 @@
         metrics.gauge("sniperoute_agreement_term", "The agreement's term.") { status.get().term.toDouble() }
         metrics.gauge("sniperoute_agreement_committed", "The last committed entry.") { status.get().commitIndex.toDouble() }
         metrics.gauge("sniperoute_agreement_leads", "1 when this replica leads.") { if (status.get().isLeader) 1.0 else 0.0 }
+        metrics.gauge(
+            "sniperoute_session_refused",
+            "Router messages answered with \"not the leader\".",
+        ) { links.notLeaderReplyCount.toDouble() }
         return options.serveOperators(OperatorPagesContext(httpThreads, controlDuty, metrics, recorder, clock))
     }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -119,7 +119,8 @@
 /** Whether there is a recent report that the routers made themselves; it is preferred to the load in responses' heads. */
 public fun EndpointState.hasSharedReport(now: Timestamp): Boolean = isReportShared && report != null && now - report.at < REPORT_LIFETIME
 
-private fun EndpointState.othersRunning(now: Timestamp): Int =
+/** Returns the requests that other routers had in flight here at the last report; 0 if that is too old. */
+internal fun EndpointState.othersRunning(now: Timestamp): Int =
     report?.takeIf { now - it.at < REPORT_LIFETIME }?.let { (it.running - it.ownRunning).coerceAtLeast(0) } ?: 0
 
 /** Returns the prompt tokens that wait to be computed here before those of a new request. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -94,9 +94,14 @@
     val usable = known.filter { it.isUsable(now) && !isOutdated(it, request, now) }
     val shortest = usable.minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
     val changing = known.count { it.isChanging }
+    val ejected = known.count { now < it.ejectedUntil }
     val limited = known.count { !it.isPermitted(now) }
-    return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, $changing changing weights, " +
-        "$limited at their request limit, shortest queue ${shortest.inWholeMilliseconds} ms, fleet ${fleet.number}"
+    val own = known.sumOf { it.ownRequests.size }
+    val others = known.sumOf { it.othersRunning(now) }
+    return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, ${usable.count { it.freeSlots(now) > 0 }} with " +
+        "a free slot, $changing changing weights, $ejected ejected, $limited at their request limit, $own own requests and $others of " +
+        "other routers in ${known.sumOf { it.endpoint.slots }} slots, shortest queue ${shortest.inWholeMilliseconds} ms, " +
+        "fleet ${fleet.number}"
 }
 
 private fun RoutingState.overRateMessage(workspace: WorkspaceName, request: AdmittedRequest, now: Timestamp): String {
