--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -69,6 +69,11 @@
         return if (entries.isEmpty()) emptyList() else input(EntriesCommitted(entries.toPersistentList()))
     }
 
+    /** Announces entries as committed that the duty has not received yet. */
+    fun announceCommitted(entries: Int) {
+        commitIndex += entries
+    }
+
     fun submit(command: Command): CommandResult? {
         input(OperatorCommandReceived(OperatorRequestId(1), command))
         return commit().filterIsInstance<SendOperatorReply>().first().result
@@ -134,6 +139,21 @@
         expectThat(report().isEverywhere).isTrue()
     }
 
+    @Test
+    fun `a leader takes reports and renewals of routers while it has committed entries to apply`() {
+        val driver = ControlDutyDriver()
+        driver.session(RenewRequest(0, persistentListOf()))
+        driver.announceCommitted(1)
+        val workload = EndpointWorkload(EndpointName("e0"), 1, 0)
+        driver.session(WorkloadReport(persistentListOf(workload), persistentListOf()))
+        val totals = driver.state.leaderState!!
+            .workloads.byRouter.values
+            .flatMap { it.values }
+        expectThat(totals).isEqualTo(listOf(workload))
+        val replies = driver.session(RenewRequest(0, persistentListOf())).filterIsInstance<SendSessionReply>()
+        expectThat(replies.single().message).isA<RenewReply>()
+    }
+
     @Test
     fun `two submissions under one number, and a resend after a lost reply`() {
         val driver = ControlDutyDriver()
--- a/programs/src/test/kotlin/sniperoute/programs/ListedServices.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ListedServices.kt
@@ -29,9 +29,9 @@
 internal val listedStart = Timestamp(1_000_000_000)
 
 /** Returns the view [number] of endpoints `e0`, `e1` and so on, one for each of [incarnations], which serve [weights]. */
-internal fun listedFleet(number: Long, incarnations: List<Int>, weights: Map<ModelName, Long>): FleetView {
+internal fun listedFleet(number: Long, incarnations: List<Int>, weights: Map<ModelName, Long>, slots: Int = 64): FleetView {
     val listed = incarnations.mapIndexed { index, incarnation ->
-        val endpoint = Endpoint(EndpointName("e$index"), "h", index + 1, FailureDomain("d"), 64, true)
+        val endpoint = Endpoint(EndpointName("e$index"), "h", index + 1, FailureDomain("d"), slots, true)
         FleetEndpoint(
             ListedEndpoint(endpoint, listedService, incarnation.toString(), "v1", false, persistentMapOf()),
             persistentMapOf<ModelName, Long>().putAll(weights),
