Let a leader act while entries of its own term wait to be applied

Operators could get 503 from the leader itself.

Cause: the agreement duty publishes a new commit index before the control duty has received the entries. A leader took every message of a router in between for one that it may not handle, answered "not the leader" and dropped it: workload reports, which are sent once, token returns, limits, renewals. A router that hears this from the leader also turns to another replica, and what it sends there is lost too.

Why this is right: a leader needs the entries of earlier terms before it acts, and its lease is valid only once the first entry of its term is committed. Entries of its own term are acknowledged by nobody else, and by itself only after they are applied.

--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -73,6 +73,7 @@
     membership = log.membership,
     redundancy = redundancy(now),
     maximumElectionTimeout = settings.maximumElectionTimeout,
+    firstIndex = (role as? Leader)?.firstIndex ?: 0,
 )
 
 private fun AgreementEffectHandlers.perform(effect: AgreementEffect): Unit = when (effect) {
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -33,7 +33,7 @@
 
 /**
  * The status that the agreement duty publishes. [leaseEnd] is the end of the leader lease; it is `null` when this replica
- * doesn't lead or may not act as the leader.
+ * doesn't lead or may not act as the leader. [firstIndex] is the log entry with which the leader's term began.
  */
 public data class AgreementStatus(
     public val self: VmName,
@@ -45,6 +45,7 @@
     public val membership: Membership,
     public val redundancy: Redundancy,
     public val maximumElectionTimeout: Duration,
+    public val firstIndex: Long = 0,
 )
 
 /** A proposal that isn't committed yet, by who is to get its result. */
@@ -180,8 +181,11 @@
 internal fun ControlDutyState.updateLeader(change: LeaderState.() -> LeaderState): ControlDutyState =
     copy(leaderState = leaderState?.change())
 
-/** Returns whether this replica leads at [now] with a valid leader lease and has applied all committed entries. */
+/**
+ * Returns whether this replica leads at [now] with a valid leader lease and has applied all entries of earlier terms. Entries of its own
+ * term need not be applied: only the leader acknowledges them, after it has applied them.
+ */
 public fun ControlDutyState.isLeading(status: AgreementStatus, now: Timestamp): Boolean {
     val leaseEnd = status.leaseEnd ?: return false
-    return leaderState != null && leaderState.term == status.term && now < leaseEnd && appliedIndex >= status.commitIndex
+    return leaderState != null && leaderState.term == status.term && now < leaseEnd && appliedIndex >= status.firstIndex
 }
--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -42,6 +42,7 @@
     var state = newControlDutyState(100)
     var isLeader = true
     val openProposals = mutableListOf<ProposeCommand>()
+    var firstIndex = 0L
     private var commitIndex = 0L
 
     fun status() = AgreementStatus(
@@ -54,6 +55,7 @@
         Membership(persistentListOf()),
         Redundancy.FULL,
         900.milliseconds,
+        firstIndex,
     )
 
     fun input(input: ControlInput?): List<ControlEffect> {
@@ -154,6 +156,18 @@
         expectThat(replies.single().message).isA<RenewReply>()
     }
 
+    @Test
+    fun `a new leader takes nothing from routers before it has applied the entries of earlier terms`() {
+        val driver = ControlDutyDriver()
+        driver.firstIndex = 1
+        driver.announceCommitted(1)
+        val early = driver.session(RenewRequest(0, persistentListOf())).filterIsInstance<SendSessionReply>()
+        expectThat(early.single().message).isA<NotLeader>()
+        driver.input(EntriesCommitted(persistentListOf(CommittedEntry(1, 0, null))))
+        val late = driver.session(RenewRequest(0, persistentListOf())).filterIsInstance<SendSessionReply>()
+        expectThat(late.single().message).isA<RenewReply>()
+    }
+
     @Test
     fun `two submissions under one number, and a resend after a lost reply`() {
         val driver = ControlDutyDriver()
