Report the whole workload of a router once a second

Cause: a router sends a request only where the leader's sum of all routers' requests leaves a free slot. Routers reported only changes, once each, over a way that may drop them: a replica that does not lead, a link that ends, a full ring. When the report that a request has ended is lost, the leader counts the request for as long as the router lives, unless the router sends to that endpoint again; and once enough are counted to fill all endpoints, nobody sends there again.

The class of fault: a state carried by differences over a lossy way, without refresh or expiry, and used as a hard bound.

Why this fix works: a router reports all its endpoints with requests once a second, and the leader replaces what it had of that router. A lost report of any kind is made good within a second of the next one that arrives. The report names only endpoints with requests in flight at that router; an empty one is a few bytes.

A generated test loses reports and sums at any rate, replaces leaders, lets leases lapse and restarts routers: the sum at the leader is 0 after that, and requests are served.

--- a/programs/src/test/kotlin/sniperoute/programs/WorkloadExchangeTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/WorkloadExchangeTest.kt
@@ -3,8 +3,13 @@
  */
 package sniperoute.programs
 
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.identity.Incarnation
@@ -15,6 +20,7 @@
 import sniperoute.request.routing.decision.newRoutingState
 import sniperoute.request.routing.decision.step
 import sniperoute.request.routing.message.*
+import sniperoute.version.decision.LEASE_DURATION
 import sniperoute.version.decision.RouterName
 import sniperoute.version.decision.advance
 import sniperoute.version.decision.emptyCatalogue
@@ -24,6 +30,7 @@
 import sniperoute.version.decision.recordReport
 import sniperoute.version.message.*
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
 import kotlin.random.Random
@@ -47,6 +54,27 @@
     private val states = MutableList(routerCount) { newState() }
     private var workloads = noFleetWorkloads()
     private val pending = mutableListOf<Pair<Timestamp, () -> Unit>>()
+    private val leases = mutableMapOf<RouterName, Timestamp>()
+
+    /** The requests in flight as the leader sums them. */
+    val sumAtLeader: Int get() = workloads.byRouter.values.sumOf { ofRouter -> ofRouter.values.sumOf { it.running } }
+
+    /** A new leader knows nothing of what routers reported before. */
+    fun replaceLeader() {
+        workloads = noFleetWorkloads()
+    }
+
+    /** The leader drops what it knows of a router, as when its lease lapses for a moment. */
+    fun forgetRouter(router: Int) {
+        workloads = workloads.keepOnly(names.toSet() - names[router])
+    }
+
+    /** The router starts again; the lease of the process before runs on. */
+    fun restartRouter(router: Int) {
+        leases[names[router]] = now + LEASE_DURATION
+        names[router] = RouterName(names[router].vm, Incarnation(names[router].incarnation.bits + 1))
+        states[router] = newState()
+    }
 
     private fun newState(): RoutingState {
         val item = ServiceItem(Service(listedService, ServiceKind.PLAIN, persistentListOf(), null, null, isListed = true))
@@ -84,7 +112,8 @@
     private fun perform(router: Int, effect: RoutingEffect) {
         when (effect) {
             is ReportWorkload -> if (!isLost()) {
-                later(MESSAGE_TIME) { workloads = workloads.recordReport(names[router], effect.report) }
+                val name = names[router]
+                later(MESSAGE_TIME) { workloads = workloads.recordReport(name, effect.report) }
             }
             is Dispatch -> later(answerTime) {
                 served++
@@ -104,15 +133,20 @@
         val due = pending.filter { it.first <= now }
         pending.removeAll(due)
         due.forEach { it.second() }
-        val step = workloads.keepOnly(names.toSet()).nextMessage(now)
+        val step = workloads.keepOnly(names.toSet() + leases.filterValues { it > now }.keys).nextMessage(now)
         workloads = step.workloads
-        step.message?.let { message -> states.indices.forEach { later(MESSAGE_TIME) { input(it, FleetWorkloadReceived(message)) } } }
+        step.message?.let { message -> states.indices.forEach { receive(it, message) } }
         states.indices.forEach { input(it, null) }
     }
 
-    fun play(length: Duration, perSecond: Int) {
+    private fun receive(router: Int, message: FleetWorkload) {
+        if (!isLost()) later(MESSAGE_TIME) { input(router, FleetWorkloadReceived(message)) }
+    }
+
+    fun play(length: Duration, perSecond: Int, onStep: () -> Unit = {}) {
         repeat((length / TICK).toInt()) {
             repeat(perSecond / 100 + if (random.nextInt(100) < perSecond % 100) 1 else 0) { send() }
+            onStep()
             advance()
         }
     }
@@ -142,4 +176,33 @@
         expectThat(sent).isGreaterThan(200)
         expectThat(served).describedAs("served $served of $sent").isGreaterThanOrEqualTo(sent * 9 / 10)
     }
+
+    @Test
+    fun `after losses, restarts and changes of leader the sums are right again and requests are served`() {
+        runBlocking {
+            checkAll(PropTestConfig(iterations = 30), Arb.long()) { seed ->
+                val random = Random(seed)
+                val fleet = WorkloadFleet(routerCount = random.nextInt(1, 30), slots = random.nextInt(2, 8), random = random)
+                repeat(6) {
+                    fleet.answerTime = random.nextInt(10, 600).milliseconds
+                    val lossRate = random.nextDouble()
+                    fleet.isLost = { random.nextDouble() < lossRate }
+                    fleet.play(500.milliseconds, random.nextInt(10, 150)) {
+                        if (random.nextInt(100) == 0) fleet.replaceLeader()
+                        if (random.nextInt(50) == 0) fleet.forgetRouter(0)
+                        if (random.nextInt(50) == 0) fleet.restartRouter(0)
+                    }
+                }
+                fleet.isLost = { false }
+                fleet.answerTime = 20.milliseconds
+                fleet.play(LEASE_DURATION + 1.seconds, 0)
+                expectThat(fleet.sumAtLeader).describedAs("requests in flight at the leader, seed $seed").isEqualTo(0)
+                val (sentBefore, servedBefore) = fleet.sent to fleet.served
+                fleet.play(2.seconds, 60)
+                val sent = fleet.sent - sentBefore
+                val served = fleet.served - servedBefore
+                expectThat(served).describedAs("served of $sent, seed $seed").isGreaterThanOrEqualTo(sent * 9 / 10)
+            }
+        }
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -92,6 +92,7 @@
     public val reportedWorkloads: PersistentMap<EndpointName, EndpointWorkload> = persistentMapOf(),
     public val newlyCached: PersistentList<CachedBlocks> = persistentListOf(),
     public val nextWorkloadReport: Timestamp = Timestamp.EARLIEST,
+    public val nextCompleteReport: Timestamp = Timestamp.EARLIEST,
     public val lastControlContact: Timestamp = Timestamp.EARLIEST,
     public val servedBlocks: PersistentMap<BlockId, Timestamp> = persistentMapOf(),
     public val nextLimitReport: Timestamp = Timestamp.EARLIEST,
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -13,22 +13,32 @@
 import sniperoute.version.message.WorkloadReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The shortest time between two reports of a router. */
 private val REPORT_INTERVAL: Duration = 50.milliseconds
 
-/** Returns the state after a report of the changes since the last report, if there are any and the report is due. */
+/** How often a router reports its workload at all endpoints, since reports of changes may be lost. */
+private val COMPLETE_REPORT_INTERVAL: Duration = 1.seconds
+
+/** Returns the state after a report of the changes since the last report, or a complete one, if there is anything to report and it is due. */
 internal fun RoutingState.reportWorkload(now: Timestamp): RoutingStep {
     if (now < nextWorkloadReport) return unchanged()
+    val isComplete = now >= nextCompleteReport
     val workloads = endpoints.values.map { it.workload() }
-    val changed = workloads.filter { it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0)) }
-    if (changed.isEmpty() && newlyCached.isEmpty()) return unchanged()
+    val reported = workloads.filter {
+        if (isComplete) it.running > 0 else it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0))
+    }
+    if (!isComplete && reported.isEmpty() && newlyCached.isEmpty()) return unchanged()
     val next = copy(
-        reportedWorkloads = changed.fold(reportedWorkloads) { all, workload -> all.put(workload.endpoint, workload) },
+        reportedWorkloads = reported.fold(if (isComplete) reportedWorkloads.clear() else reportedWorkloads) { all, workload ->
+            all.put(workload.endpoint, workload)
+        },
         newlyCached = persistentListOf(),
         nextWorkloadReport = now + REPORT_INTERVAL,
+        nextCompleteReport = if (isComplete) now + COMPLETE_REPORT_INTERVAL else nextCompleteReport,
     )
-    return next.unchanged().emit(ReportWorkload(WorkloadReport(changed.toPersistentList(), newlyCached)))
+    return next.unchanged().emit(ReportWorkload(WorkloadReport(reported.toPersistentList(), newlyCached, isComplete)))
 }
 
 private fun EndpointState.workload(): EndpointWorkload = EndpointWorkload(endpoint.name, ownRequests.size, ownWaitingTokens())
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -36,16 +36,15 @@
 /** Returns the state of a leader that has received no report yet. */
 public fun noFleetWorkloads(): FleetWorkloads = FleetWorkloads(persistentMapOf(), persistentSetOf(), persistentListOf(), Timestamp.EARLIEST)
 
-/** Returns the state with the [report] of [router] applied. */
+/** Returns the state with the [report] of [router] applied. A complete report corrects what earlier ones, which may be lost, left behind. */
 public fun FleetWorkloads.recordReport(router: RouterName, report: WorkloadReport): FleetWorkloads {
-    val workloads = report.work.fold(byRouter[router] ?: persistentMapOf()) { all, workload ->
+    val before = byRouter[router] ?: persistentMapOf()
+    val workloads = report.work.fold(if (report.isComplete) before.clear() else before) { all, workload ->
         if (workload.running == 0) all.remove(workload.endpoint) else all.put(workload.endpoint, workload)
     }
-    return copy(
-        byRouter = byRouter.put(router, workloads),
-        changed = changed.addAll(report.work.map { it.endpoint }),
-        held = held.addAll(report.held),
-    )
+    val reported = report.work.map { it.endpoint }
+    val endpoints = if (report.isComplete) (before.keys + reported).filter { before[it] != workloads[it] } else reported
+    return copy(byRouter = byRouter.put(router, workloads), changed = changed.addAll(endpoints), held = held.addAll(report.held))
 }
 
 /** Returns the state without routers that are not in [live]; their requests have ended or will be reported again. */
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -83,12 +83,16 @@
 @Serializable
 public data class RequestLimitReport(public val limits: SerializableList<RequestLimit>) : SessionMessage
 
-/** Reports to the leader the router's workload at the endpoints where it changed, and the cache blocks computed for its requests. */
+/**
+ * Reports to the leader the router's workload at the endpoints where it changed, and the cache blocks computed for its requests. When
+ * [isComplete], the router has no workload at other endpoints.
+ */
 @Serializable
 @SerialName("sniperoute.version.message.WorkNote")
 public data class WorkloadReport(
     public val work: SerializableList<EndpointWorkload>,
     public val held: SerializableList<CachedBlocks>,
+    public val isComplete: Boolean = false,
 ) : SessionMessage
 
 /** Notifies routers of the workload of all routers at endpoints, and of cache blocks computed for their requests. */
