Look at each byte of an event stream once

What callers saw: nothing yet. A stream of comments, or an event in many small pieces, kept the connection's thread busy for a minute and more, and every caller on that thread waited.

Cause: for each event of a chunk, the assembly searched all effects before it for a failure; the parser joined and scanned the bytes of an incomplete event again with each piece; a collected response was joined piece by piece. The work grew with the square of what an endpoint sent.

Change: a failure is the last effect, so only that one is looked at.

--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertTimeoutPreemptively
 import org.junit.jupiter.api.io.TempDir
 import sniperoute.connection.endpoint.decision.*
 import sniperoute.connection.endpoint.endpointClient
@@ -25,6 +26,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNull
 import strikt.assertions.startsWith
 import java.io.IOException
@@ -40,6 +42,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 private const val RESET_DELAY_MILLISECONDS = 100L
 
@@ -308,4 +311,19 @@
             }
         }
     }
+
+    @Test
+    fun `a long event that is received byte by byte does not occupy the thread`() {
+        val piece = "x".toByteArray()
+        val state = assertTimeoutPreemptively(PARSING_TIME) { (1..500_000).fold(newEventStream()) { state, _ -> state.parse(piece).state } }
+        val last = state.parse("\n\n".toByteArray())
+        expectThat(
+            last.events
+                .single()
+                .bytes.size,
+        ).isEqualTo(500_002)
+        expectThat(last.state.hasPartialEvent).isFalse()
+    }
 }
+
+private val PARSING_TIME = 20.seconds.toJavaDuration()
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -9,6 +9,7 @@
 import sniperoute.connection.endpoint.decision.EventStreamState
 import sniperoute.connection.endpoint.decision.ServerSentEvent
 import sniperoute.connection.endpoint.decision.hasPartialEvent
+import sniperoute.connection.endpoint.decision.joined
 import sniperoute.connection.endpoint.decision.newEventStream
 import sniperoute.connection.endpoint.decision.parse
 import sniperoute.connection.endpoint.message.*
@@ -158,15 +159,18 @@
     val start = AssemblyStep(copy(stream = step.state, bytesWithoutContent = bytesWithoutContent + bytes.size))
     if (step.isTooLong) return start.assembly.fail(AttemptFailureKind.WRONG, "an event of the stream is too long")
     val next = step.events.fold(start) { current, event ->
-        if (current.effects.any { it is FailAttempt }) current else current.then { it.onEvent(event) }
+        if (current.hasFailed) current else current.then { it.onEvent(event) }
     }
-    val hasContent = next.assembly.bytesWithoutContent <= MAX_BYTES_WITHOUT_CONTENT || next.effects.any { it is FailAttempt }
+    val hasContent = next.assembly.bytesWithoutContent <= MAX_BYTES_WITHOUT_CONTENT || next.hasFailed
     return if (hasContent) next else next.then { it.fail(AttemptFailureKind.WRONG, "the stream goes on without content") }
 }
 
 /** The upper bound on comments and other bytes between two events with content. */
 private const val MAX_BYTES_WITHOUT_CONTENT = 1024 * 1024
 
+/** A failure is the last effect of an attempt. */
+private val AssemblyStep.hasFailed: Boolean get() = effects.lastOrNull() is FailAttempt
+
 private fun AssemblyStep.then(step: (Assembly) -> AssemblyStep): AssemblyStep {
     val next = step(assembly)
     return AssemblyStep(next.assembly, effects.addAll(next.effects))
@@ -215,7 +219,7 @@
 
 private fun Assembly.onBufferedEnd(): AssemblyStep {
     val received = head ?: return fail(AttemptFailureKind.WRONG, "the response has no head")
-    val response = SendResponse(received, content.fold(ByteArray(0)) { all, part -> all + part })
+    val response = SendResponse(received, content.joined())
     if (isFault) return fail(AttemptFailureKind.FAULTED, "the endpoint responded with status ${received.status}", response)
     return when (val parsed = responseParser.parseBody(received, response.content)) {
         is InvalidBody -> fail(AttemptFailureKind.WRONG, parsed.reason)
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertTimeoutPreemptively
 import sniperoute.connection.endpoint.message.*
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.ResponseHead
@@ -27,6 +28,8 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 class AssembliesTest {
     private val streamHead = ResponseStarted(ResponseHead(200, persistentListOf(Header("content-type", "text/event-stream"))))
@@ -98,6 +101,13 @@
         expectThat(failure(ResponseStarted(ResponseHead(500))).mayRepeat).isTrue()
     }
 
+    @Test
+    fun `a chunk with very many comments does not occupy the thread`() {
+        val comments = content(":\n\n".repeat(300_000))
+        val step = assertTimeoutPreemptively(PARSING_TIME) { streamed().takeAll(streamHead, comments) }
+        expectThat(step.second.count { it is SendContent }).isEqualTo(300_000)
+    }
+
     @Test
     fun `a buffered response that is not JSON or is incomplete is not sent to the caller`() {
         val buffered = newAssembly(jsonResponseParser(ServiceKind.MODEL, wantsStream = false))
@@ -129,3 +139,5 @@
         }
     }
 }
+
+private val PARSING_TIME = 20.seconds.toJavaDuration()
