Let an endpoint end its load after its service lost the model

After a change of configuration that leaves a listed service without models that have target weights, an endpoint that was loading at that moment counted as changing its weights for good: routers sent it no requests until it started again or the leader changed.

Cause: the leader reconciled only services with target weights, so it never read such an endpoint again, and neither its open command nor its busy mark ended.

Change: a service with an endpoint that loads is reconciled as well. A planned command for a model that is no longer served is dropped before it is sent.

Evidence: the new test failed before (the endpoint was still busy after ten seconds of reports that say otherwise).

--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -211,7 +211,8 @@
         .entries
         .fold(LoadStep(this, emptyList())) { step, (service, members) ->
             val targets = modelsOf(service).mapNotNull { targetWeights[it] }
-            if (targets.isEmpty()) step else step.reconcileService(members.map { it.listed.endpoint.name }, targets, now)
+            val isSettled = targets.isEmpty() && members.none { it.isBusy || it.openCommand != null }
+            if (isSettled) step else step.reconcileService(members.map { it.listed.endpoint.name }, targets, now)
         }
 
 private fun LoadStep.reconcileService(names: List<EndpointName>, targets: List<ModelWeights>, now: Timestamp): LoadStep {
@@ -253,6 +254,8 @@
     return when {
         openCommand == null && (load.isBusy || load.outdatedOrNull(targets) != null && load.commandCount == null) -> readIfDue(load, now)
         openCommand == null -> this
+        openCommand.sent == null && targets.none { it.model == openCommand.model } ->
+            copy(loads = loads.change(name) { it.copy(openCommand = null) })
         openCommand.accepted != null -> if (now - openCommand.accepted >= MIN_LOAD_TIME) readIfDue(load, now) else this
         openCommand.sent == null && now - openCommand.planned >= ROUTER_NOTICE_DELAY -> sendCommand(load, openCommand, now)
         openCommand.sent != null && now - openCommand.sent >= COMMAND_TIMEOUT -> sendCommand(load, openCommand, now)
--- a/version/src/test/kotlin/sniperoute/version/WeightLoadsTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/WeightLoadsTest.kt
@@ -19,7 +19,9 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -113,6 +115,26 @@
         )
     }
 
+    @Test
+    fun `an endpoint that was loading when its service lost the model does not count as loading for good`() {
+        val planned = reconcile(reportedLoads(1, 1), 2, start).loads
+        val commanded = reconcile(planned, 2, start + 50.milliseconds)
+        val name = commanded.effects
+            .filterIsInstance<SendLoadCommand>()
+            .single()
+            .listed.endpoint.name
+        val loading = commanded.loads.commandEnded(name, 2, LoadCommandOutcome.TAKEN, start + 60.milliseconds)
+        val last = (1..100).fold(loading) { loads, step ->
+            val now = start + 60.milliseconds + 100.milliseconds * step
+            val next = loads.reconcile(emptyMap(), { emptyList() }, now)
+            next.effects.filterIsInstance<ReadEndpoint>().fold(next.loads) { read, effect ->
+                read.reportRead(effect.listed.endpoint.name, report(2, 1), now)
+            }
+        }
+        expectThat(last.endpoints.getValue(name).isBusy).isFalse()
+        expectThat(last.endpoints.getValue(name).openCommand).isNull()
+    }
+
     @Test
     fun `a leader whose command was rejected by a higher fencing token sends no more commands`() {
         val fenced = reportedLoads(1, 1, 1).commandEnded(EndpointName("e0"), 2, LoadCommandOutcome.FENCED, start)
