Decide only after the entries of earlier terms whether a leader is the first

A replica that was restarted and then elected sent load commands at once, without the grace period in which those of an earlier leader may still take effect.

Cause: whether anything was ever configured was decided when the replica became the leader.

Change: each leader starts with the grace period. One that acts, and so has applied the entries of earlier terms, drops it if nothing was ever configured or published and no list was read yet.

Evidence: the new test failed before (load commands allowed at 0 s instead of 3 s after the election). A second test, that the first leader of all does not wait, holds before and after.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -56,7 +56,7 @@
             val leases = newLeases(now, status.maximumElectionTimeout)
             failPendingProposals(status).then {
                 val leader = newLeaderState(status.term, now, status.maximumElectionTimeout, leases, it.replicatedState.published.revision)
-                it.copy(leaderState = leader.withLoadsFrom(it.firstLoadCommandTime(now))).unchanged()
+                it.copy(leaderState = leader.withLoadsFrom(now + it.settings.loadCommandGracePeriod)).unchanged()
             }
         }
         leaderState != null -> failPendingProposals(status).then { it.copy(leaderState = null).unchanged() }
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -22,15 +22,17 @@
 private val LIST_INTERVAL = 600.milliseconds
 
 /**
- * Returns from when a leader elected at [now] may send load commands to listed endpoints: after the grace period that the platform
- * prescribes, those of an earlier leader can no longer take effect. While nothing was ever configured or published, no earlier leader
- * has sent any, and the leader doesn't wait.
+ * Returns the state in which load commands are allowed at once if nothing was ever configured or published: then no earlier leader has
+ * sent any. Only a leader that has applied all entries of earlier terms can tell, so this is decided when it acts, not when it is elected.
  */
-internal fun ControlDutyState.firstLoadCommandTime(now: Timestamp): Timestamp {
+private fun ControlDutyState.withoutNeedlessGracePeriod(now: Timestamp): ControlDutyState {
+    val leader = leaderState ?: return this
     val isFirstLeader = replicatedState.configurations.number == 0L && replicatedState.published.revision == 0L
-    return if (isFirstLeader) now else now + settings.loadCommandGracePeriod
+    if (!isFirstLeader || leader.fleet != null) return this
+    return updateLeader { withLoadsFrom(minOf(loads.loadCommandsAllowedFrom, now)) }
 }
 
+/** Returns the leader's state without known endpoints, in which load commands are allowed from [start] on. */
 internal fun LeaderState.withLoadsFrom(start: Timestamp): LeaderState =
     copy(loads = noWeightLoads(start))
 
@@ -44,10 +46,11 @@
 internal fun ControlDutyState.reconcileFleet(now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
     if (!settings.readsPlatformList) return unchanged()
+    val current = withoutNeedlessGracePeriod(now)
     val listing = if (now < leader.nextListRead) {
-        unchanged()
+        current.unchanged()
     } else {
-        updateLeader { copy(nextListRead = now + LIST_INTERVAL) }.unchanged().emit(ReadPlatformList)
+        current.updateLeader { copy(nextListRead = now + LIST_INTERVAL) }.unchanged().emit(ReadPlatformList)
     }
     return listing.then { it.checkStores(now) }.then { it.reconcileLoads(now) { loads -> loads } }
 }
--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -168,6 +168,30 @@
         expectThat(late.single().message).isA<RenewReply>()
     }
 
+    @Test
+    fun `a leader that learns the configuration of earlier leaders after its election waits before its load commands`() {
+        val driver = ControlDutyDriver(term = 2)
+        driver.state = newControlDutyState(100, FleetSettings(readsPlatformList = true, loadCommandGracePeriod = 3.seconds))
+        driver.firstIndex = 2
+        driver.announceCommitted(2)
+        driver.input(null)
+        val earlier = declarations()
+        val command = SubmitConfiguration(driver.now, 0, earlier.digest(), "o", earlier)
+        driver.input(EntriesCommitted(persistentListOf(CommittedEntry(1, 0, command), CommittedEntry(2, 0, null))))
+        driver.input(null)
+        val leader = driver.state.leaderState!!
+        expectThat(leader.loads.loadCommandsAllowedFrom).isEqualTo(driver.now + 3.seconds)
+    }
+
+    @Test
+    fun `the first leader of all does not wait before its load commands`() {
+        val driver = ControlDutyDriver()
+        driver.state = newControlDutyState(100, FleetSettings(readsPlatformList = true, loadCommandGracePeriod = 3.seconds))
+        driver.input(null)
+        val leader = driver.state.leaderState!!
+        expectThat(leader.loads.loadCommandsAllowedFrom).isEqualTo(driver.now)
+    }
+
     @Test
     fun `two submissions under one number, and a resend after a lost reply`() {
         val driver = ControlDutyDriver()
