Let no silence of an endpoint end a response by itself

Callers saw streams cut, or got an error, when a sound endpoint fell silent for longer than its route's gap and would have gone on: beside a change of the configuration this is a request that is read, placed and not answered.

Cause: a call ended as SILENT when nothing came for the idle timeout, before anyone knew whether another attempt could be made. With the attempts of the route or the retry budget spent, with no other endpoint free, or on a stream that may not be repeated (native interface), the attempt was gone and the response was given up.

A call now reports that it stalled and goes on. The run holds what still comes and asks routing, which either dispatches the request to another endpoint at that moment, charged as a retry, or keeps the attempt. Since events are held meanwhile, no decision crosses the end of the attempt, nothing is lost when it is kept, and nothing is sent twice when it is replaced. A call is asked about again after each stall timeout, so it is replaced as soon as that is possible; it ends at the deadline.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/CollectedResponses.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/CollectedResponses.kt
@@ -21,6 +21,7 @@
         when (event) {
             is ResponseStarted -> head = event.head
             is ContentReceived -> content.write(event.bytes)
+            is CallStalled -> Unit
             is CallCompleted -> onEnd(head?.let { CollectedResponse(it, content.toByteArray()).right() } ?: missingHead.left())
             is CallFailed -> onEnd(event.left())
         }
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -20,6 +20,7 @@
 import sniperoute.connection.endpoint.message.CallCompleted
 import sniperoute.connection.endpoint.message.CallFailed
 import sniperoute.connection.endpoint.message.CallFailure
+import sniperoute.connection.endpoint.message.CallStalled
 import sniperoute.connection.endpoint.message.ContentReceived
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
@@ -53,6 +54,7 @@
     private lateinit var context: ChannelHandlerContext
     private var served: ServedCall? = null
     private var idleTimer: ScheduledFuture<*>? = null
+    private var stallTimer: ScheduledFuture<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -63,7 +65,7 @@
         check(served == null) { "the connection to $address serves another call already" }
         val current = ServedCall(call, onEvent)
         served = current
-        restartIdleTimer()
+        restartTimers()
         context.writeAndFlush(call.toRequest(requestIdHeader)).addListener { written ->
             current.isRequestWritten = written.isSuccess
             if (!written.isSuccess && served === current) {
@@ -83,12 +85,12 @@
     fun setReading(isEnabled: Boolean, call: EndpointCall? = null) {
         if (call != null && served?.call !== call) return
         context.channel().config().isAutoRead = isEnabled
-        if (isEnabled) restartIdleTimer() else idleTimer?.cancel(false)
+        if (isEnabled) restartTimers() else cancelTimers()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val current = served ?: return close()
-        restartIdleTimer()
+        restartTimers()
         if (message.decoderResult().isFailure) {
             return fail(CallFailure.MALFORMED, message.decoderResult().cause().message ?: "the response cannot be parsed")
         }
@@ -142,7 +144,7 @@
 
     private fun complete(current: ServedCall) {
         served = null
-        idleTimer?.cancel(false)
+        cancelTimers()
         context.channel().config().isAutoRead = true
         val isReusable = current.isReusable && current.isRequestWritten
         if (isReusable) pool.release(address, context.channel(), current.keepAliveTimeout) else context.close()
@@ -158,20 +160,33 @@
     }
 
     private fun close() {
-        idleTimer?.cancel(false)
+        cancelTimers()
         context.close()
     }
 
-    private fun restartIdleTimer() {
+    private fun restartTimers() {
+        cancelTimers()
+        val call = served?.call ?: return
+        idleTimer = after(call.idleTimeout) { fail(CallFailure.SILENT, "no data was received for ${call.idleTimeout}") }
+        call.stallTimeout?.let(::startStallTimer)
+    }
+
+    private fun startStallTimer(timeout: Duration) {
+        stallTimer = after(timeout) {
+            startStallTimer(timeout)
+            pool.evictAll(address)
+            served?.onEvent?.invoke(CallStalled("no data was received for $timeout"))
+        }
+    }
+
+    private fun cancelTimers() {
         idleTimer?.cancel(false)
-        val timeout = served?.call?.idleTimeout ?: return
-        idleTimer = context.executor().schedule(
-            { fail(CallFailure.SILENT, "no data was received for $timeout") },
-            timeout.inWholeMilliseconds,
-            TimeUnit.MILLISECONDS,
-        )
+        stallTimer?.cancel(false)
     }
 
+    private fun after(delay: Duration, action: () -> Unit): ScheduledFuture<*> =
+        context.executor().schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(address, context.channel())
         fail(CallFailure.BROKEN, "the connection was closed")
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -15,7 +15,8 @@
 /**
  * A call to the endpoint at [address]. A response that carries a request ID must carry [requestId], unless that is `null`. The call
  * fails when no byte is received for [idleTimeout] while reading is enabled, or when the content is longer than [maxContentBytes],
- * unless that is `null`. A call that [requiresNewConnection] does not reuse an idle one.
+ * unless that is `null`. Unless [stallTimeout] is `null`, the call reports each such time without a byte, and goes on. A call that
+ * [requiresNewConnection] does not reuse an idle one.
  */
 public class EndpointCall(
     public val address: EndpointAddress,
@@ -27,6 +28,7 @@
     public val idleTimeout: Duration,
     public val requiresNewConnection: Boolean = false,
     public val maxContentBytes: Long? = DEFAULT_MAX_CONTENT_BYTES,
+    public val stallTimeout: Duration? = null,
 )
 
 private const val DEFAULT_MAX_CONTENT_BYTES = 4L * 1024 * 1024
@@ -58,6 +60,9 @@
 /** Part of the content was received. */
 public class ContentReceived(public val bytes: ByteArray) : CallEvent
 
+/** No byte was received for the stall timeout of the call, which goes on. */
+public data class CallStalled(public val reason: String) : CallEvent
+
 /** The response is complete. */
 public data object CallCompleted : CallEvent
 
--- a/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/EndpointWatchers.kt
@@ -130,6 +130,7 @@
             is ContentReceived -> receive(event.bytes)
             is CallCompleted -> ended("the endpoint ended the stream")
             is CallFailed -> ended(event.reason)
+            is CallStalled -> Unit
         }
     }
 
@@ -182,6 +183,7 @@
             is ContentReceived -> content += event.bytes
             is CallCompleted -> if (status == HttpStatus.OK) onListRead(content.decodeToString())
             is CallFailed -> Unit
+            is CallStalled -> Unit
         }
     }
     return state.copy(nextPlatformCall = now + PLATFORM_INTERVAL)
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -73,6 +73,7 @@
     when (effect) {
         is Dispatch -> performAtRun(effect.id, effect)
         is Refuse -> performAtRun(effect.id, effect)
+        is KeepAttempt -> performAtRun(effect.id, effect)
         is GiveUp -> performAtRun(effect.id, effect)
         is RequestTokens -> session.offer(RoutingMessageSent(TokenRequest(effect.workspace, effect.tokens)))
         is ReturnTokens -> session.offer(RoutingMessageSent(TokenReturn(effect.workspace, effect.tokens)))
--- a/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/trial/Loads.kt
@@ -156,6 +156,7 @@
             is ContentReceived -> take(event.bytes)
             is CallCompleted -> finish(request.kind != TraceKind.DRAFT || hasEndMarker)
             is CallFailed -> finish(false)
+            is CallStalled -> Unit
         }
     }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -37,6 +37,15 @@
         .dispatch(dequeued.request.request, chosen, now)
 }
 
+/** Returns the step that sends [request] on at once to an endpoint at which it has not failed, or `null` if none takes it now. */
+internal fun RoutingState.redispatchOrNull(request: AdmittedRequest, policy: PlacementPolicy, now: Timestamp): RoutingStep? {
+    val declared = view.catalogue.services[request.service]
+    if (declared == null || !view.isReady(now) || view.catalogue.isQuarantined(request)) return null
+    val failedAt = retries[request.id]?.failedAt.orEmpty()
+    val target = targetOrNull(declared, request, policy, now)?.takeIf { it.placement.endpoint !in failedAt } ?: return null
+    return copy(placementCount = placementCount + 1).dispatch(request, target, now)
+}
+
 /** A request that has waited for this long takes any free slot, wherever its prompt is cached. */
 private val MAX_WAIT_FOR_CACHE = 4.seconds
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Retrying.kt
@@ -11,13 +11,22 @@
 private const val MAX_REJECTIONS = 2
 
 internal fun RoutingState.retryOrGiveUp(run: RunningRequest, result: AttemptFailed, now: Timestamp): RoutingStep {
+    val charged = chargeRetryOrNull(run, result, now) ?: return giveUp(run, result, now)
+    val request = run.request
+    val weight = workspaceOrNull(request)?.tokensPerSecond ?: 1
+    val queue = queueOf(request.service).enqueueFirst(QueuedRequest(request, weight))
+    return charged.copy(queues = queues.put(request.service, queue)).unchanged()
+}
+
+/** Returns the state in which the request of [run] may be sent once more, charged to the retry budget, or `null` if it may not. */
+internal fun RoutingState.chargeRetryOrNull(run: RunningRequest, result: AttemptFailed, now: Timestamp): RoutingState? {
     val id = run.request.id
     val request = run.request
     val isNotRun = result.kind.isNotRun
     val possibleRuns = (retries[id]?.possibleRuns ?: 0) + if (isNotRun) 0 else 1
     val budget = budgetOf(request.service)
     val spent = if (result.kind == AttemptFailureKind.NOT_RUN) budget else budget.spendOrNull(now, settings.retries, routers)
-    if (spent == null || !mayRetry(run, result, possibleRuns, now)) return giveUp(run, result, now)
+    if (spent == null || !mayRetry(run, result, possibleRuns, now)) return null
     val retry = RetryState(
         attempts = run.attempt,
         failedAt = (retries[id]?.failedAt ?: noFailedEndpoints()).add(run.endpoint),
@@ -25,13 +34,7 @@
         possibleRuns = possibleRuns,
         queueDeadline = minOf(request.deadline, now + (request.queueDeadline - request.arrived)),
     )
-    val weight = workspaceOrNull(request)?.tokensPerSecond ?: 1
-    val queue = queueOf(request.service).enqueueFirst(QueuedRequest(request, weight))
-    return copy(
-        budgets = budgets.put(request.service, spent),
-        retries = retries.put(id, retry),
-        queues = queues.put(request.service, queue),
-    ).unchanged()
+    return copy(budgets = budgets.put(request.service, spent), retries = retries.put(id, retry))
 }
 
 /** A request that no endpoint ran gets its tokens back. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -37,6 +37,7 @@
     is RequestCancelled -> onCancelled(input.id, policy, now)
     is FirstTokenReceived -> onFirstToken(input, now).unchanged()
     is AttemptEnded -> onAttemptEnded(input, policy, now)
+    is AttemptStalled -> onAttemptStalled(input, policy, now)
     is ViewChanged -> onViewChanged(input.view, policy, now)
     is TokensGranted -> onTokens(input, policy, now)
     is EndpointReported -> onReported(input, policy, now)
@@ -194,6 +195,25 @@
     return next.then { it.drain(run.request.service, policy, now) }
 }
 
+/**
+ * Replaces a stalled attempt by one at another endpoint if that can begin now. Otherwise the attempt goes on, since its endpoint may
+ * only have paused.
+ */
+private fun RoutingState.onAttemptStalled(input: AttemptStalled, policy: PlacementPolicy, now: Timestamp): RoutingStep {
+    val run = running[input.id] ?: return unchanged().emit(KeepAttempt(input.id))
+    val stalled = if (run.hasStalled) this else withStalled(run, now)
+    val replaced = stalled
+        .copy(running = running.remove(input.id))
+        .withEndpoint(run.endpoint) { it.withoutRequest(input.id) }
+        .addEvidence(run) { it.addFailure() }
+        .chargeRetryOrNull(run, AttemptFailed(AttemptFailureKind.SILENT, input.mayRepeat, input.reason), now)
+        ?.redispatchOrNull(run.request, policy, now)
+    return replaced?.then { it.drain(run.request.service, policy, now) } ?: stalled.unchanged().emit(KeepAttempt(input.id))
+}
+
+private fun RoutingState.withStalled(run: RunningRequest, now: Timestamp): RoutingState =
+    copy(running = running.put(run.request.id, run.copy(hasStalled = true))).withEndpoint(run.endpoint) { it.afterSilence(now) }
+
 private fun RoutingState.onCompleted(run: RunningRequest, result: AttemptCompleted, now: Timestamp): RoutingStep {
     val settled = copy(retries = retries.remove(run.request.id))
         .withEndpoint(run.endpoint) { it.afterResponse(result.isFault) }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -30,7 +30,10 @@
 import sniperoute.version.message.Workspace
 import kotlin.time.Duration
 
-/** A request in flight at [endpoint]; [attempt] counts from 1. [release] is the version of a listed endpoint's software. */
+/**
+ * A request in flight at [endpoint]; [attempt] counts from 1. [release] is the version of a listed endpoint's software. The attempt
+ * [hasStalled] once the endpoint was silent for longer than the stall timeout.
+ */
 public data class RunningRequest(
     public val request: AdmittedRequest,
     public val endpoint: EndpointName,
@@ -38,6 +41,7 @@
     public val attempt: Int,
     public val started: Timestamp,
     public val release: WeightsVersion? = null,
+    public val hasStalled: Boolean = false,
 )
 
 /**
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -36,6 +36,12 @@
 /** An attempt ended. */
 public data class AttemptEnded(public val id: RequestId, public val result: AttemptResult) : RoutingInput
 
+/**
+ * The endpoint has been silent for longer than the stall timeout of the attempt, which waits for [Dispatch] or [KeepAttempt].
+ * [mayRepeat] is as in [AttemptFailed].
+ */
+public data class AttemptStalled(public val id: RequestId, public val mayRepeat: Boolean, public val reason: String) : RoutingInput
+
 /** The catalogue or the lease changed. */
 public data class ViewChanged(public val view: ServingView) : RoutingInput
 
@@ -160,7 +166,7 @@
 public sealed interface RoutingEffect
 
 /**
- * Send the request to [endpoint]. It may fetch cached blocks from [importFrom], and saves those that it computes to [storeTo].
+ * Send the request to [endpoint], instead of a stalled attempt if there is one. It may fetch cached blocks from [importFrom], and saves those that it computes to [storeTo].
  * [isFresh] asks for a new connection. [reason] explains the choice of the endpoint to people.
  */
 public data class Dispatch(
@@ -177,6 +183,9 @@
 /** Respond to the request with [refusal]. */
 public data class Refuse(public val id: RequestId, public val refusal: Refusal) : RoutingEffect
 
+/** Go on with the stalled attempt, since no other one can begin now. */
+public data class KeepAttempt(public val id: RequestId) : RoutingEffect
+
 /** Make no further attempt and end the request with [reason]. */
 public data class GiveUp(public val id: RequestId, public val reason: String) : RoutingEffect
 
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -4,9 +4,11 @@
  */
 package sniperoute.request.run
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.connection.endpoint.CallEndpoint
 import sniperoute.connection.endpoint.message.CallEvent
+import sniperoute.connection.endpoint.message.CallStalled
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
 import sniperoute.connection.endpoint.message.ResponseStarted
@@ -35,6 +37,7 @@
 import sniperoute.request.run.message.ResponseParser
 import sniperoute.version.message.Repetition
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Sends [input] to the routing duty; returns `false` if its ring is full. */
 public typealias SendToRouting = (input: RoutingInput) -> Boolean
@@ -73,6 +76,7 @@
 )
 
 private const val MAX_RECORDED_BYTES = 16 * 1024
+private val MIN_IDLE_TIMEOUT = 10.milliseconds
 
 /** The run of one request. All functions run on the thread of the caller's connection. */
 public class RequestRun internal constructor(
@@ -92,6 +96,9 @@
     private var hasEnded = false
     private var isCallerDisconnected = false
 
+    /** The events of a stalled call since routing was asked whether another attempt replaces it; `null` while nothing was asked. */
+    private var heldEvents: PersistentList<CallEvent>? = null
+
     /** Set when the run was cancelled; a dispatch that routing emitted before the cancellation must not be sent. */
     private var isCancelled = false
 
@@ -112,6 +119,7 @@
         when (effect) {
             is Dispatch -> dispatch(effect)
             is Refuse -> refuse(effect.refusal)
+            is KeepAttempt -> releaseHeldEvents()
             is GiveUp -> giveUp(effect.reason)
             else -> Unit
         }
@@ -155,6 +163,8 @@
     }
 
     private fun dispatch(dispatch: Dispatch) {
+        if (currentDispatch != null) abandonAttempt()
+        heldEvents = null
         currentDispatch = dispatch
         sentAt = dependencies.clock()
         assembly = assembly.nextAttempt()
@@ -178,14 +188,18 @@
                 OutgoingRequest(exchange.head, admitted, this, assembly.lastId, context.cacheSalt, left),
             ),
             body = exchange.body,
-            idleTimeout = context.protocol.idleTimeout(admitted, context.wantsStream, left),
+            idleTimeout = left.coerceAtLeast(MIN_IDLE_TIMEOUT),
             requiresNewConnection = isFresh || admitted.route.repetition == Repetition.ONCE_ONLY,
             maxContentBytes = null,
+            stallTimeout = context.protocol.stallTimeout(admitted, context.wantsStream, left),
         )
     }
 
     private fun onCallEvent(dispatch: Dispatch, event: CallEvent) = exchange.onConnectionThread {
-        if (!hasEnded && currentDispatch === dispatch) {
+        val held = heldEvents
+        if (!hasEnded && currentDispatch === dispatch && held != null) {
+            if (event !is CallStalled) heldEvents = held.add(event)
+        } else if (!hasEnded && currentDispatch === dispatch) {
             if (event is ResponseStarted) reportLoad(event.head)
             val step = assembly.take(event)
             assembly = step.assembly
@@ -205,9 +219,24 @@
             is EndStream -> endStream()
             is SendResponse -> sendResponse(effect)
             is FailAttempt -> failAttempt(effect)
+            is ReportStall -> reportStall(effect)
         }
     }
 
+    /** Holds what the call sends from now on until routing has decided, so that no event is lost or sent twice at a replacement. */
+    private fun reportStall(stall: ReportStall) {
+        record(EventKind.ENDPOINT_SILENT, detail = stall.reason)
+        heldEvents = persistentListOf()
+        val isSent = dependencies.sendToRouting(AttemptStalled(admitted.id, stall.mayRepeat && !isCallerDisconnected, stall.reason))
+        if (!isSent) releaseHeldEvents()
+    }
+
+    private fun releaseHeldEvents() {
+        val held = heldEvents.orEmpty()
+        heldEvents = null
+        currentDispatch?.let { dispatch -> held.forEach { onCallEvent(dispatch, it) } }
+    }
+
     private fun reportFirstToken() {
         val now = dependencies.clock()
         if (firstToken == null) firstToken = now
--- a/request/src/main/kotlin/sniperoute/request/run/codec/NativeProtocols.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/codec/NativeProtocols.kt
@@ -24,15 +24,13 @@
 /** Headers of callers that are not forwarded: credentials, and those that the router sets itself. */
 private val NOT_FORWARDED = setOf("authorization", "x-api-key", "cookie", "host", "x-request-id", "last-event-id")
 
-private val MIN_IDLE_TIMEOUT = 10.milliseconds
-
 /** Returns the protocol of the native interface. */
 public fun nativeProtocol(): FrontEndProtocol = FrontEndProtocol(
     requestHeaders = ::requestHeaders,
     responseHeaders = ::responseHeaders,
     refusalResponse = ::refusalResponse,
     parseLoadReport = { null },
-    idleTimeout = ::idleTimeout,
+    stallTimeout = ::stallTimeout,
     externalRequestId = { _, id -> id.text },
 )
 
@@ -65,15 +63,14 @@
 }
 
 /**
- * Returns the idle timeout. A stream may pause for the route's gap. A response that is not streamed may take until the deadline, or
- * half of the remaining time, but at least the gap, if the request may be retried; this leaves time for another attempt.
+ * Returns the stall timeout. A stream may pause for the route's gap. A response that is not streamed may take half of the remaining
+ * time, but at least the gap, which leaves time for another attempt.
  */
-private fun idleTimeout(admitted: AdmittedRequest, wantsStream: Boolean, remaining: Duration): Duration {
+private fun stallTimeout(admitted: AdmittedRequest, wantsStream: Boolean, remaining: Duration): Duration? {
     val gap = admitted.route.gapMilliseconds.milliseconds
-    val timeout = remaining.coerceAtLeast(MIN_IDLE_TIMEOUT)
     return when {
+        admitted.route.repetition != Repetition.REPEATABLE -> null
         wantsStream -> gap
-        admitted.route.repetition == Repetition.REPEATABLE -> maxOf(gap, timeout / 2)
-        else -> timeout
+        else -> maxOf(gap, remaining / 2)
     }
 }
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -108,11 +108,17 @@
     public val progress: AnswerProgress = AnswerProgress.NONE,
 ) : AssemblyEffect
 
+/** Report that the endpoint is silent; [mayRepeat] tells whether another attempt could go on from here. */
+public data class ReportStall(public val mayRepeat: Boolean, public val reason: String) : AssemblyEffect
+
 /** An assembly and its effects, in order. */
 public data class AssemblyStep(public val assembly: Assembly, public val effects: PersistentList<AssemblyEffect> = persistentListOf())
 
 private fun Assembly.fail(kind: AttemptFailureKind, reason: String, response: SendResponse? = null): AssemblyStep =
-    AssemblyStep(this, persistentListOf(FailAttempt(kind, delivered == 0L || isResumable, reason, response, progress)))
+    AssemblyStep(this, persistentListOf(FailAttempt(kind, mayRepeat, reason, response, progress)))
+
+/** Whether another attempt could go on from here. */
+private val Assembly.mayRepeat: Boolean get() = delivered == 0L || isResumable
 
 private val Assembly.progress: AnswerProgress
     get() = when {
@@ -127,6 +133,7 @@
     is ContentReceived -> if (isStream) onStreamContent(event.bytes) else onBufferedContent(event.bytes)
     is CallCompleted -> if (isStream) onStreamEnd() else onBufferedEnd()
     is CallFailed -> fail(event.failure.toAttemptFailureKind(), event.reason)
+    is CallStalled -> AssemblyStep(this, persistentListOf(ReportStall(mayRepeat, event.reason)))
 }
 
 private fun CallFailure.toAttemptFailureKind(): AttemptFailureKind = when (this) {
--- a/request/src/main/kotlin/sniperoute/request/run/message/FrontEndProtocols.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/message/FrontEndProtocols.kt
@@ -45,8 +45,11 @@
 /** Returns the load and weights that an endpoint reports in the head of a response, or `null` if it reports none. */
 public typealias ParseLoadReport = (head: ResponseHead) -> ResponseLoadReport?
 
-/** Returns the idle timeout of an attempt, when [left] is the time until the deadline. */
-public typealias IdleTimeout = (admitted: AdmittedRequest, wantsStream: Boolean, left: Duration) -> Duration
+/**
+ * Returns the silence of an endpoint after which another one is tried if that is possible, when [left] is the time until the deadline,
+ * or `null` if none may be tried.
+ */
+public typealias StallTimeout = (admitted: AdmittedRequest, wantsStream: Boolean, left: Duration) -> Duration?
 
 /** Returns the ID by which the caller and the endpoint know the request. */
 public typealias ExternalRequestId = (head: RequestHead, id: RequestId) -> String
@@ -57,6 +60,6 @@
     public val responseHeaders: ResponseHeaders,
     public val refusalResponse: RefusalResponse,
     public val parseLoadReport: ParseLoadReport,
-    public val idleTimeout: IdleTimeout,
+    public val stallTimeout: StallTimeout,
     public val externalRequestId: ExternalRequestId,
 )
--- /dev/null
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -0,0 +1,113 @@
+/**
+ * The run of one request, with an exchange and a call that the test plays.
+ */
+package sniperoute.request
+
+import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.Test
+import sniperoute.connection.endpoint.message.*
+import sniperoute.connection.http.*
+import sniperoute.process.identity.VmName
+import sniperoute.process.identity.newIncarnation
+import sniperoute.request.ledger.message.LedgerOwner
+import sniperoute.request.routing.message.*
+import sniperoute.request.run.RequestContext
+import sniperoute.request.run.RequestRunDependencies
+import sniperoute.request.run.codec.jsonResponseParser
+import sniperoute.request.run.codec.nativeProtocol
+import sniperoute.request.run.requestRun
+import sniperoute.version.message.*
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+
+class RequestRunTest {
+    private val sent = mutableListOf<RoutingInput>()
+    private val content = StringBuilder()
+    private val cancelled = mutableListOf<EndpointAddress>()
+    private val listeners = mutableListOf<OnCallEvent>()
+
+    private inner class PlayedExchange : Exchange {
+        override val head = RequestHead("GET", "/v1", "", persistentListOf())
+        override val body = ByteArray(0)
+
+        override fun respond(head: ResponseHead, content: ByteArray) {
+            this@RequestRunTest.content.append(content.decodeToString())
+        }
+
+        override fun startResponse(head: ResponseHead) = Unit
+
+        override fun send(content: ByteArray) {
+            this@RequestRunTest.content.append(content.decodeToString())
+        }
+
+        override fun end() = Unit
+
+        override fun abort() {
+            content.append("aborted")
+        }
+
+        override fun setListener(listener: CallerConnectionListener) = Unit
+
+        override fun after(delay: Duration, action: () -> Unit): CancelTimer = {}
+
+        override fun onConnectionThread(action: () -> Unit) = action()
+    }
+
+    private fun run() = requestRun(
+        admitted("1"),
+        RequestContext(
+            responseParser = jsonResponseParser(ServiceKind.PLAIN, wantsStream = true),
+            protocol = nativeProtocol(),
+            wantsStream = true,
+            cacheSalt = 0,
+            ledgerKey = null,
+            owner = LedgerOwner(VmName("vm"), newIncarnation(), "1"),
+            configuration = 1,
+        ),
+        PlayedExchange(),
+        RequestRunDependencies(
+            sendToRouting = sent::add,
+            call = { call, onEvent ->
+                listeners += onEvent
+                object : RunningCall {
+                    override fun cancel() {
+                        cancelled += call.address
+                    }
+
+                    override fun setReading(isEnabled: Boolean) = Unit
+                }
+            },
+            requestLedger = { _, _, _ -> },
+            record = { _, _, _ -> },
+            clock = { start },
+            ended = { _, _, _ -> },
+        ),
+    )
+
+    private fun dispatch(attempt: Int) = Dispatch(RequestId("1"), endpoint("e$attempt"), null, attempt, isFresh = true)
+
+    private fun event(number: Int) = ContentReceived("id: $number\ndata: {\"n\":$number}\n\n".toByteArray())
+
+    private val head = ResponseStarted(ResponseHead(200, persistentListOf(Header("content-type", "text/event-stream"))))
+
+    @Test
+    fun `what a stalled attempt sends while routing decides is neither lost when it is kept nor sent twice when it is replaced`() {
+        listOf(KeepAttempt(RequestId("1")) to "123", dispatch(2) to "1").forEach { (decision, numbers) ->
+            listOf(content.clear(), sent.clear(), cancelled.clear(), listeners.clear())
+            val run = run()
+            run.begin()
+            run.perform(dispatch(1))
+            val call = listeners.single()
+            listOf(head, event(1), CallStalled("silent"), event(2), CallStalled("silent"), event(3)).forEach(call)
+            expectThat(sent.filterIsInstance<AttemptStalled>().size).isEqualTo(1)
+            expectThat(content.lines().filter { it.startsWith("id: ") }).containsExactly("id: 1")
+            run.perform(decision)
+            call(event(4))
+            val expected = if (decision is Dispatch) numbers else "${numbers}4"
+            expectThat(content.lines().mapNotNull { it.substringAfter("id: ", "").ifEmpty { null } }.joinToString("")).isEqualTo(expected)
+            expectThat(cancelled.size).isEqualTo(if (decision is Dispatch) 1 else 0)
+        }
+    }
+}
--- a/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RoutingTest.kt
@@ -194,6 +194,37 @@
         }
     }
 
+    @Test
+    fun `a stalled attempt is kept while no endpoint takes another one, and replaced as soon as one does`() {
+        val router = driver(engines = 2)
+        val silent = router.send(admitted("1")).target()!!
+        val other = listOf("e0", "e1").single { it != silent }
+        val stalled = AttemptStalled(RequestId("1"), true, "nothing came")
+        router.report(other, isLeaving = true)
+        expectThat(router.input(stalled)).contains(KeepAttempt(RequestId("1")))
+        expectThat(router.state.running.keys).contains(RequestId("1"))
+        router.report(other)
+        expectThat(router.input(stalled).filterIsInstance<Dispatch>().single()).and {
+            get { endpoint.name.text }.isEqualTo(other)
+            get { attempt }.isEqualTo(2)
+        }
+        expectThat(
+            router.state.endpoints
+                .getValue(EndpointName(silent))
+                .ownRequests.size,
+        ).isEqualTo(0)
+    }
+
+    @Test
+    fun `a stalled attempt that may not be repeated is kept`() {
+        val router = driver(engines = 2)
+        router.send(admitted("1"))
+        expectThat(router.input(AttemptStalled(RequestId("1"), false, "nothing came"))).contains(KeepAttempt(RequestId("1")))
+        router.send(admitted("2", route = chat.copy(mostEndpoints = 1)))
+        expectThat(router.input(AttemptStalled(RequestId("2"), true, "nothing came"))).contains(KeepAttempt(RequestId("2")))
+        expectThat(router.state.running.keys).contains(RequestId("1"), RequestId("2"))
+    }
+
     @Test
     fun `a request that broke in an endpoint's crash is reported, and is given up at the second crash`() {
         val router = driver()
