Do not admit a request whose caller has left while its run began

A run whose caller's connection was closed already cancelled itself and was admitted to routing afterwards. Routing dispatched it to nobody: the run was gone, nothing ended the attempt, and one slot of an endpoint counted as taken until the process ended.

The run now begins nothing more after it has learned that the caller left. RequestRunTest "a request whose caller has left is not admitted to routing, where nothing would end it" failed before (RequestCancelled, then RequestAdmitted) and passes.

--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -107,6 +107,7 @@
         exchange.setListener(
             CallerConnectionListener(onWritabilityChanged = { call?.setReading(it) }, onDisconnected = ::onCallerDisconnected),
         )
+        if (isCallerDisconnected) return
         record(EventKind.REQUEST_ADMITTED, detail = describeRequest())
         context.answerDeadline?.let { cancelTimer = exchange.after(it - dependencies.clock(), ::onDeadline) }
         val key = context.ledgerKey
--- a/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -28,7 +28,7 @@
     private val cancelled = mutableListOf<EndpointAddress>()
     private val listeners = mutableListOf<OnCallEvent>()
 
-    private inner class PlayedExchange : Exchange {
+    private inner class PlayedExchange(private val isConnected: Boolean) : Exchange {
         override val head = RequestHead("GET", "/v1", "", persistentListOf())
         override val body = ByteArray(0)
 
@@ -48,14 +48,16 @@
             content.append("aborted")
         }
 
-        override fun setListener(listener: CallerConnectionListener) = Unit
+        override fun setListener(listener: CallerConnectionListener) {
+            if (!isConnected) listener.onDisconnected()
+        }
 
         override fun after(delay: Duration, action: () -> Unit): CancelTimer = {}
 
         override fun onConnectionThread(action: () -> Unit) = action()
     }
 
-    private fun run() = requestRun(
+    private fun run(isConnected: Boolean = true) = requestRun(
         admitted("1"),
         RequestContext(
             responseParser = jsonResponseParser(ServiceKind.PLAIN, wantsStream = true),
@@ -66,7 +68,7 @@
             owner = LedgerOwner(VmName("vm"), newIncarnation(), "1"),
             configuration = 1,
         ),
-        PlayedExchange(),
+        PlayedExchange(isConnected),
         RequestRunDependencies(
             sendToRouting = sent::add,
             call = { call, onEvent ->
@@ -92,10 +94,17 @@
 
     private val head = ResponseStarted(ResponseHead(200, persistentListOf(Header("content-type", "text/event-stream"))))
 
+    @Test
+    fun `a request whose caller has left is not admitted to routing, where nothing would end it`() {
+        run(isConnected = false).begin()
+        expectThat(sent).containsExactly(RequestCancelled(RequestId("1")))
+    }
+
     @Test
     fun `what a stalled attempt sends while routing decides is neither lost when it is kept nor sent twice when it is replaced`() {
         listOf(KeepAttempt(RequestId("1")) to "123", dispatch(2) to "1").forEach { (decision, numbers) ->
-            listOf(content.clear(), sent.clear(), cancelled.clear(), listeners.clear())
+            content.clear()
+            listOf(sent, cancelled, listeners).forEach { it.clear() }
             val run = run()
             run.begin()
             run.perform(dispatch(1))
