Let nothing that ends a caller's connection cut the response in progress on it

Callers that send their next request before the response saw the response cut, or took the refusal of the next request for it.

Causes, of one class: each reason to end a connection acted at once, whatever was in progress. A next request that could not be decoded, or was too long, was refused out of turn and the connection closed; the timer for a next head closed it; a closing server closed it after the first response though it had read more requests (and passed the next one on); an idle connection was closed before its last response was written, and the process ended before that too.

Refusals are queued among the requests. Every other reason only sets that no further request is read; the connection closes once the responses to those read before are written. A closing server keeps a connection while requests wait on it. A stopping router waits for its connections within its drain time.

Evidence, on the code before: HttpTest "an invalid request is refused after the response in progress on its connection, which it does not cut" got [400] instead of [200, 400]; "a closing server answers the requests that it has read on a connection before it closes it" got [200] instead of three.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -1,6 +1,6 @@
 /**
- * A connection of a caller. Pipelined requests are handled one at a time, responses are written in order, and requests that Netty could
- * not decode are refused.
+ * A connection of a caller. Pipelined requests are handled one at a time, responses are written in order, and requests that cannot be
+ * decoded are refused in their turn. Whatever ends the connection, a request in progress on it gets its response first.
  */
 package sniperoute.connection.http
 
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -30,53 +31,92 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-internal class CallerConnection(private val limits: HttpLimits, private val isClosing: IsClosing, private val handle: HandleExchange) :
-    SimpleChannelInboundHandler<FullHttpRequest>() {
-    private var queued: PersistentList<NettyExchange> = persistentListOf()
+/** A request and what handles it. */
+private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange)
+
+internal class CallerConnection(
+    private val currentLimits: CurrentLimits,
+    private val isClosing: IsClosing,
+    private val handle: HandleExchange,
+) : SimpleChannelInboundHandler<HttpRequest>() {
+    private var queued: PersistentList<QueuedExchange> = persistentListOf()
     private var current: NettyExchange? = null
     private var context: ChannelHandlerContext? = null
 
-    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+    /** Set when no further request is read, so that the connection ends with its last response. */
+    private var isEnding = false
+
+    override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
+        if (isEnding) return
         val failure = request.decoderResult().cause()
         when {
-            failure != null -> context.refuse(statusOf(failure), "the request cannot be parsed: ${failure.message}")
-            request.protocolVersion() !in supportedVersions -> context.refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
-            !request.hasValidHost() -> context.refuse(HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
-            queued.size >= limits.maxPipelinedRequests ->
-                context.refuse(HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
-            else -> enqueue(request, context)
+            failure != null -> refuse(request, statusOf(failure), "the request cannot be parsed: ${failure.message}")
+            request !is FullHttpRequest -> refuse(
+                request,
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "the body of the request is too long",
+            )
+            request.protocolVersion() !in supportedVersions ->
+                refuse(request, HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
+            !request.hasValidHost() -> refuse(request, HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
+            queued.size >= currentLimits().maxPipelinedRequests ->
+                refuse(request, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
+            else -> accept(request)
         }
+        startNext()
     }
 
     /** Closes the connection unless a request is in progress on it. */
     fun closeIfIdle() {
         val context = context ?: return
-        context.executor().execute { if (current == null && queued.isEmpty()) context.close() }
+        context.executor().execute { if (!isEnding && current == null && queued.isEmpty()) end() }
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
 
-    private fun enqueue(request: FullHttpRequest, context: ChannelHandlerContext) {
-        val mayKeepAlive = { HttpUtil.isKeepAlive(request) && !isClosing() }
-        queued = queued.add(NettyExchange(context, request.toHead(), request.toBytes(), mayKeepAlive, ::onResponded))
-        startNext()
+    private fun accept(request: FullHttpRequest) {
+        val asksToKeepAlive = HttpUtil.isKeepAlive(request)
+        isEnding = !asksToKeepAlive
+        enqueue(request, request.toBytes(), handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing())) }
+    }
+
+    private fun refuse(request: HttpRequest, status: HttpResponseStatus, reason: String) {
+        isEnding = true
+        val error = errorResponse(status.code(), "malformed_request", reason, "not-run")
+        enqueue(request, ByteArray(0), { it.respond(error.head, error.content) }) { false }
+    }
+
+    private fun enqueue(request: HttpRequest, body: ByteArray, handle: HandleExchange, mayKeepAlive: () -> Boolean) {
+        val exchange = NettyExchange(checkNotNull(context), request.toHead(), body, mayKeepAlive, ::onResponded)
+        queued = queued.add(QueuedExchange(exchange, handle))
     }
 
     private fun startNext() {
         if (current != null) return
         val next = queued.firstOrNull() ?: return
         queued = queued.removeAt(0)
-        current = next
-        handle(next)
+        current = next.exchange
+        next.handle(next.exchange)
     }
 
-    private fun onResponded() {
+    private fun onResponded(isLast: Boolean) {
         current = null
+        if (isLast) {
+            queued = queued.clear()
+            isEnding = true
+        }
+        if (isEnding) end()
         startNext()
     }
 
+    /** Reads no further request, and closes the connection unless there is still one to respond to. */
+    private fun end() {
+        isEnding = true
+        if (current == null && queued.isEmpty()) context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         current?.listener?.onWritabilityChanged?.invoke(context.channel().isWritable)
         context.fireChannelWritabilityChanged()
@@ -90,7 +130,11 @@
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is IdleStateEvent && current == null) context.close() else context.fireUserEventTriggered(event)
+        when (event) {
+            is IdleStateEvent -> if (current == null) context.close()
+            is HeadTimedOut -> end()
+            else -> context.fireUserEventTriggered(event)
+        }
     }
 
     @Deprecated("overrides a method that Netty deprecates")
@@ -112,16 +156,7 @@
     else -> HttpResponseStatus.BAD_REQUEST
 }
 
-private fun ChannelHandlerContext.refuse(status: HttpResponseStatus, reason: String) {
-    val error = errorResponse(status.code(), "malformed_request", reason, "not-run")
-    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(error.content))
-    response.headers().addAll(error.head.headers)
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, error.content.size)
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-    writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
-}
-
-private fun FullHttpRequest.toHead(): RequestHead = RequestHead(
+private fun HttpRequest.toHead(): RequestHead = RequestHead(
     method = method().name(),
     path = uri().substringBefore('?'),
     query = uri().substringAfter('?', ""),
@@ -142,7 +177,7 @@
     override val head: RequestHead,
     override val body: ByteArray,
     private val mayKeepAlive: () -> Boolean,
-    private val onResponded: () -> Unit,
+    private val onResponded: (isLast: Boolean) -> Unit,
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
@@ -199,8 +234,7 @@
         isFinished = true
         listener = null
         if (last is DefaultFullHttpResponse && !keepAlive) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        val written = context.writeAndFlush(last)
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
-        onResponded()
+        context.writeAndFlush(last)
+        onResponded(!keepAlive)
     }
 }
--- a/connection/src/main/kotlin/sniperoute/connection/http/HeadTimeouts.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HeadTimeouts.kt
@@ -1,5 +1,5 @@
 /**
- * A timeout for the head of a request: a connection is closed when a caller does not finish sending one in time.
+ * A timeout for the head of a request, for callers that do not finish sending one in time.
  */
 package sniperoute.connection.http
 
@@ -11,8 +11,11 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
+/** A head was not complete in time. */
+internal data object HeadTimedOut
+
 /**
- * Closes the connection when a head is not complete [timeout] after its first byte. [bytes] belongs before the decoder in the
+ * Fires [HeadTimedOut] when a head is not complete [timeout] after its first byte. [bytes] belongs before the decoder in the
  * pipeline, and [messages] after it.
  */
 internal class HeadTimeout(private val timeout: Duration) {
@@ -22,7 +25,12 @@
     val bytes = object : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (timer == null && !isInBody) {
-                timer = context.executor().schedule({ context.close() }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+                timer =
+                    context.executor().schedule(
+                        { context.fireUserEventTriggered(HeadTimedOut) },
+                        timeout.inWholeMilliseconds,
+                        TimeUnit.MILLISECONDS,
+                    )
             }
             context.fireChannelRead(message)
         }
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
@@ -32,8 +31,8 @@
 
 /**
  * Limits on the requests of a caller: sizes in bytes, and the number of pipelined requests that may wait on a connection. A connection
- * without a request in progress is closed when nothing was received or sent for [idleTimeout]. A connection is also closed when the
- * head of a request is not complete [headTimeout] after its first byte.
+ * without a request in progress is closed when nothing was received or sent for [idleTimeout]. A connection is
+ * also closed when the head of a request is not complete [headTimeout] after its first byte.
  */
 public data class HttpLimits(
     public val initialLineBytes: Int = 8_192,
@@ -72,7 +71,10 @@
         channel.close().await(1, TimeUnit.SECONDS)
     }
 
-    /** Closes the connections without a request in progress. */
+    /** Whether connections are open. */
+    public val hasConnections: Boolean get() = connections.isNotEmpty()
+
+    /** Closes the connections without a request in progress, once their last response is written. */
     public fun closeIdleConnections(): Unit = connections.forEach { it.pipeline().get(CallerConnection::class.java)?.closeIfIdle() }
 }
 
@@ -127,8 +129,8 @@
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
                 IdleStateHandler(0, 0, limits.idleTimeout.inWholeSeconds.toInt()),
-                HttpObjectAggregator(limits.bodyBytes, true),
-                CallerConnection(limits, isClosing, handle),
+                RequestAggregator(limits.bodyBytes),
+                CallerConnection(currentLimits, isClosing, handle),
             )
         }
     }
--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
@@ -0,0 +1,26 @@
+/**
+ * Collects whole requests. One that is too long is passed on without its body, so that it is refused after the responses to the
+ * requests before it.
+ */
+package sniperoute.connection.http
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+
+internal class RequestAggregator(maxBytes: Int) : HttpObjectAggregator(maxBytes, true) {
+    override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
+        val request = oversized as HttpRequest
+        context.fireChannelRead(DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()))
+    }
+
+    /** Returns no response that would precede those of earlier requests: only an interim one, to a request that is not too long. */
+    override fun newContinueResponse(start: HttpMessage, maxContentLength: Int, pipeline: ChannelPipeline): Any? {
+        val isInterim = HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maxContentLength)
+        return if (isInterim) super.newContinueResponse(start, maxContentLength, pipeline) else null
+    }
+}
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -35,6 +35,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import javax.net.ssl.SSLContext
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -42,6 +43,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val RESET_DELAY_MILLISECONDS = 100L
+private const val SLOW_RESPONSE_MILLISECONDS = 500L
+private const val PAUSE_MILLISECONDS = 50L
 
 class HttpTest {
     private val threads = startHttpThreads(1)
@@ -91,6 +94,73 @@
         }
     }
 
+    private val get = "GET /first HTTP/1.1\r\nhost: a\r\n\r\n"
+
+    private fun slowly(exchange: Exchange) {
+        thread(isDaemon = true) {
+            Thread.sleep(SLOW_RESPONSE_MILLISECONDS)
+            exchange.respond(ResponseHead(200), exchange.head.path.toByteArray())
+        }
+    }
+
+    /** Sends [requests] one by one and returns all that comes until the server closes the connection, or nothing comes for two seconds. */
+    private fun conversation(port: Int, vararg requests: String): String = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = 2_000
+        requests.forEach { request ->
+            socket.getOutputStream().write(request.toByteArray())
+            Thread.sleep(PAUSE_MILLISECONDS)
+        }
+        val text = StringBuilder()
+        val bytes = ByteArray(4_096)
+        runCatching {
+            while (true) text.append(bytes.decodeToString(0, socket.getInputStream().read(bytes).also { check(it >= 0) { "closed" } }))
+        }
+        text.toString()
+    }
+
+    private fun statuses(text: String) = Regex("HTTP/1.1 (\\d+)").findAll(text).map { it.groupValues[1].toInt() }.toList()
+
+    @Test
+    fun `an invalid request is refused after the response in progress on its connection, which it does not cut`() {
+        val port = server(::slowly).port
+        val invalid = mapOf(
+            "nonsense\r\n\r\n" to 400,
+            "GET / HTTP/1.1\r\nhost: a\r\nx: ${"y".repeat(2_000)}\r\n\r\n" to 431,
+            "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n" to 400,
+            "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n" to 413,
+            "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\nexpect: 100-continue\r\n\r\n" to 413,
+        )
+        invalid.forEach { (request, status) ->
+            val text = conversation(port, get + request)
+            expectThat(statuses(text)).describedAs("$request: $text").containsExactly(200, status)
+            expectThat(text).contains("/first")
+        }
+    }
+
+    @Test
+    fun `the head of the next request may time out without cutting the response in progress`() {
+        val hasty = limits.copy(headTimeout = 100.milliseconds)
+        val port = threads.serve("127.0.0.1", 0, { hasty }, handle = ::slowly).port
+        expectThat(statuses(conversation(port, get, "GET /second HTTP/1.1\r\n"))).containsExactly(200)
+    }
+
+    @Test
+    fun `a closing server answers the requests that it has read on a connection before it closes it`() {
+        val port = threads.serve("127.0.0.1", 0, { limits }, isClosing = { true }, handle = ::slowly).port
+        val text = conversation(port, get + get + get)
+        expectThat(statuses(text)).containsExactly(200, 200, 200)
+        expectThat(Regex("connection: close").findAll(text).count()).isEqualTo(1)
+    }
+
+    @Test
+    fun `no request is handled after one that asked for the connection to be closed`() {
+        val handled = AtomicInteger()
+        val port = server { handled.incrementAndGet().also { _ -> slowly(it) } }.port
+        val text = conversation(port, "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n$get")
+        expectThat(statuses(text)).containsExactly(200)
+        expectThat(handled.get()).isEqualTo(1)
+    }
+
     @Test
     fun `an aborted response has no last chunk`() {
         val port = server {
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -285,7 +285,10 @@
         callers.stopListening()
         callers.closeIdleConnections()
         val drainDeadline = clock() + options.drain
-        while (runs.isNotEmpty() && clock() < drainDeadline) Thread.sleep(DRAIN_CHECK_INTERVAL.inWholeMilliseconds)
+        while ((runs.isNotEmpty() || callers.hasConnections) && clock() < drainDeadline) {
+            Thread.sleep(DRAIN_CHECK_INTERVAL.inWholeMilliseconds)
+            callers.closeIdleConnections()
+        }
         sessionDuty.stop(DUTY_STOP_TIMEOUT)
         network.close()
         threads.close()
