Answer a request whose handling fails, and log the fault

A fault in the code that handles a request closed the caller's connection without an answer and without a trace. Such a request now gets a 500 that promises nothing, or an aborted response if it had begun, and the fault is logged with its stack.

HttpTest "a request whose handling fails is answered" got no response before, 500 now. Which fault could occur there is not known.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -4,10 +4,12 @@
  */
 package sniperoute.connection.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -28,9 +30,12 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import sniperoute.connection.http.codec.errorResponse
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
+private val logger = KotlinLogging.logger("sniperoute")
+
 /** A request and what handles it. */
 private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange)
 
@@ -98,7 +103,12 @@
         val next = queued.firstOrNull() ?: return
         queued = queued.removeAt(0)
         current = next.exchange
-        next.handle(next.exchange)
+        try {
+            next.handle(next.exchange)
+        } catch (failure: RuntimeException) {
+            logger.error(failure) { "the handler of a request failed" }
+            next.exchange.fail()
+        }
     }
 
     private fun onResponded(isLast: Boolean) {
@@ -139,7 +149,12 @@
 
     @Deprecated("overrides a method that Netty deprecates")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
+        if (cause is IOException || cause is DecoderException) {
+            context.close()
+        } else {
+            logger.error(cause) { "the handling of a caller's connection failed" }
+            end()
+        }
     }
 }
 
@@ -181,6 +196,7 @@
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
+    private var isStarted = false
     private var isFinished = false
     private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE, mayKeepAlive)
 
@@ -195,6 +211,7 @@
     }
 
     override fun startResponse(head: ResponseHead) = onConnectionThread {
+        isStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         response.headers().addAll(head.headers)
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
@@ -215,6 +232,12 @@
         context.close()
     }
 
+    /** Ends the exchange after a fault of its handler: whether the request ran is not known. */
+    fun fail() {
+        val error = errorResponse(HttpStatus.INTERNAL_ERROR, "internal_error", "the request could not be handled", "may-have-run")
+        if (isStarted) abort() else respond(error.head, error.content)
+    }
+
     override fun setListener(listener: CallerConnectionListener) = onConnectionThread {
         this.listener = listener
         if (!context.channel().isActive) listener.onDisconnected()
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -161,6 +161,12 @@
         expectThat(handled.get()).isEqualTo(1)
     }
 
+    @Test
+    fun `a request whose handling fails is answered`() {
+        val port = server { error("a fault of the handler") }.port
+        expectThat(statuses(conversation(port, get))).containsExactly(500)
+    }
+
     @Test
     fun `an aborted response has no last chunk`() {
         val port = server {
