Close idle connections by the idle timeout in force

A connection kept the idle timeout of the moment at which it was opened, cut to whole seconds (below one second: none). Callers reuse kept connections according to the configuration in force. After a change to a longer timeout, connections opened before were closed while callers still counted on them: a request sent at that moment gets neither an answer nor a refusal.

The timeout is compared with the one in force when it is over, and taken anew with each request. It counts in milliseconds.

HttpTest "a kept connection is closed by the idle timeout in force, not by that at its start" failed before (closed after 1 s with 3 s in force) and passes.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
+import io.netty.handler.timeout.IdleStateHandler
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
@@ -47,6 +48,7 @@
     private var queued: PersistentList<QueuedExchange> = persistentListOf()
     private var current: NettyExchange? = null
     private var context: ChannelHandlerContext? = null
+    private var idleTimeout = currentLimits().idleTimeout
 
     /** Set when no further request is read, so that the connection ends with its last response. */
     private var isEnding = false
@@ -68,6 +70,7 @@
                 refuse(request, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
             else -> accept(request)
         }
+        watchIdleness(currentLimits().idleTimeout)
         startNext()
     }
 
@@ -127,6 +130,18 @@
         if (current == null && queued.isEmpty()) context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
     }
 
+    private fun watchIdleness(timeout: Duration) {
+        if (timeout == idleTimeout) return
+        idleTimeout = timeout
+        checkNotNull(context).pipeline().replace(IdleStateHandler::class.java, null, idleStateHandler(timeout))
+    }
+
+    /** Closes an idle connection, unless the timeout in force is longer than the one that is over. */
+    private fun onIdle() {
+        val inForce = currentLimits().idleTimeout
+        if (inForce > idleTimeout) watchIdleness(inForce) else context?.close()
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         current?.listener?.onWritabilityChanged?.invoke(context.channel().isWritable)
         context.fireChannelWritabilityChanged()
@@ -141,7 +156,7 @@
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
-            is IdleStateEvent -> if (current == null) context.close()
+            is IdleStateEvent -> if (current == null) onIdle()
             is HeadTimedOut -> end()
             else -> context.fireUserEventTriggered(event)
         }
@@ -158,6 +173,8 @@
     }
 }
 
+internal fun idleStateHandler(timeout: Duration) = IdleStateHandler(0, 0, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+
 private val supportedVersions = setOf(HttpVersion.HTTP_1_1, HttpVersion.HTTP_1_0)
 
 private fun FullHttpRequest.hasValidHost(): Boolean {
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
-import io.netty.handler.timeout.IdleStateHandler
 import io.netty.util.concurrent.GlobalEventExecutor
 import sniperoute.process.duty.namedThreads
 import java.net.InetSocketAddress
@@ -31,7 +30,7 @@
 
 /**
  * Limits on the requests of a caller: sizes in bytes, and the number of pipelined requests that may wait on a connection. A connection
- * without a request in progress is closed when nothing was received or sent for [idleTimeout]. A connection is
+ * without a request in progress is closed when nothing was received or sent for [idleTimeout], as it is in force then. A connection is
  * also closed when the head of a request is not complete [headTimeout] after its first byte.
  */
 public data class HttpLimits(
@@ -128,7 +127,7 @@
                 headTimeout.bytes,
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
-                IdleStateHandler(0, 0, limits.idleTimeout.inWholeSeconds.toInt()),
+                idleStateHandler(limits.idleTimeout),
                 RequestAggregator(limits.bodyBytes),
                 CallerConnection(currentLimits, isClosing, handle),
             )
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -25,6 +25,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNull
 import strikt.assertions.startsWith
 import java.io.IOException
@@ -36,6 +37,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
 import javax.net.ssl.SSLContext
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -161,6 +163,32 @@
         expectThat(handled.get()).isEqualTo(1)
     }
 
+    @Test
+    fun `a kept connection is closed by the idle timeout in force, not by that at its start`() {
+        val idle = AtomicReference(1.seconds)
+        val port = threads
+            .serve(
+                "127.0.0.1",
+                0,
+                { limits.copy(idleTimeout = idle.get()) },
+            ) { it.respond(ResponseHead(200), ByteArray(0)) }
+            .port
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 5_000
+            val bytes = ByteArray(4_096)
+            socket.getOutputStream().write(get.toByteArray())
+            expectThat(socket.getInputStream().read(bytes)).isGreaterThan(0)
+            idle.set(3.seconds)
+            Thread.sleep(1_800)
+            socket.getOutputStream().write(get.toByteArray())
+            expectThat(socket.getInputStream().read(bytes)).isGreaterThan(0)
+            idle.set(300.milliseconds)
+            socket.getOutputStream().write(get.toByteArray())
+            expectThat(socket.getInputStream().read(bytes)).isGreaterThan(0)
+            expectThat(socket.getInputStream().read(bytes)).isEqualTo(-1)
+        }
+    }
+
     @Test
     fun `a request whose handling fails is answered`() {
         val port = server { error("a fault of the handler") }.port
