--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -101,6 +101,7 @@
         queued = queued.add(QueuedExchange(exchange, handle))
     }
 
+    @Suppress("TooGenericExceptionCaught")
     private fun startNext() {
         if (current != null) return
         val next = queued.firstOrNull() ?: return
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -166,8 +166,8 @@
 public sealed interface RoutingEffect
 
 /**
- * Send the request to [endpoint], instead of a stalled attempt if there is one. It may fetch cached blocks from [importFrom], and saves those that it computes to [storeTo].
- * [isFresh] asks for a new connection. [reason] explains the choice of the endpoint to people.
+ * Send the request to [endpoint], instead of a stalled attempt if there is one. It may fetch cached blocks from [importFrom], and saves
+ * those that it computes to [storeTo]. [isFresh] asks for a new connection. [reason] explains the choice of the endpoint to people.
  */
 public data class Dispatch(
     public val id: RequestId,
