Abort a response that something would write another response into

Seen: a whole response, or a second head, that is asked for after a response has started left the caller without an end: the stream neither went on nor broke off.

Cause: NettyExchange knew only whether a response had ended. Netty's encoder refused the second head, which nobody looked at, and the exchange counted as finished, so that nothing else was written.

Change: the exchange holds one state (new, started, ended) and passes on only the calls that it expects. Any other one closes the connection without a last chunk and throws; after the end it has no effect, as before (late responses, callers that have gone). This is the one place for all front ends, whatever decisions ask for. Ruled out: to ignore such a call, as it hides the fault and leaves the caller waiting.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -137,6 +137,8 @@
     headers.forEach { add(it.name, it.value) }
 }
 
+private enum class ResponseState { NEW, STARTED, ENDED }
+
 internal class NettyExchange(
     private val context: ChannelHandlerContext,
     override val head: RequestHead,
@@ -146,38 +148,51 @@
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
-    private var isFinished = false
+    private var state = ResponseState.NEW
     private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE, mayKeepAlive)
 
-    override fun respond(head: ResponseHead, content: ByteArray) = onConnectionThread {
-        if (!isFinished) {
-            val status = HttpResponseStatus.valueOf(head.status)
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
-            response.headers().addAll(head.headers)
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.size)
-            finish(response)
-        }
+    override fun respond(head: ResponseHead, content: ByteArray) = inState(ResponseState.NEW) {
+        val status = HttpResponseStatus.valueOf(head.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
+        response.headers().addAll(head.headers)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.size)
+        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        finish(response)
     }
 
-    override fun startResponse(head: ResponseHead) = onConnectionThread {
+    override fun startResponse(head: ResponseHead) = inState(ResponseState.NEW) {
+        state = ResponseState.STARTED
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         response.headers().addAll(head.headers)
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        if (!isFinished) context.write(response)
+        context.write(response)
     }
 
-    override fun send(content: ByteArray) = onConnectionThread {
-        if (!isFinished) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(content)))
+    override fun send(content: ByteArray) = inState(ResponseState.STARTED) {
+        context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(content)))
     }
 
-    override fun end() = onConnectionThread {
-        if (!isFinished) finish(LastHttpContent.EMPTY_LAST_CONTENT)
-    }
+    override fun end() = inState(ResponseState.STARTED) { finish(LastHttpContent.EMPTY_LAST_CONTENT) }
 
     override fun abort() = onConnectionThread {
-        isFinished = true
-        context.close()
+        if (state != ResponseState.ENDED) {
+            state = ResponseState.ENDED
+            context.close()
+        }
+    }
+
+    /** The one place that keeps a response from standing in another one: only a call that the state expects reaches the connection. */
+    private fun inState(expected: ResponseState, action: () -> Unit) = onConnectionThread {
+        when (state) {
+            expected -> action()
+            ResponseState.ENDED -> Unit
+            else -> {
+                val actual = state
+                abort()
+                error("the response is $actual, not $expected")
+            }
+        }
     }
 
     override fun setListener(listener: CallerConnectionListener) = onConnectionThread {
@@ -196,9 +211,8 @@
     }
 
     private fun finish(last: Any) {
-        isFinished = true
+        state = ResponseState.ENDED
         listener = null
-        if (last is DefaultFullHttpResponse && !keepAlive) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         val written = context.writeAndFlush(last)
         if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
         onResponded()
--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -72,7 +72,8 @@
 
 /**
  * A request and the means to respond to it: either one call of [respond], or [startResponse], any number of [send], and one of [end] or
- * [abort]. All functions may be called on any thread; calls take effect in order.
+ * [abort]. All functions may be called on any thread; calls take effect in order. A call out of this sequence aborts the response and
+ * throws [IllegalStateException] on the thread of the caller's connection, but after the end of the response it has no effect.
  */
 public interface Exchange {
     /** The request's head. */
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -25,11 +25,15 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.startsWith
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
@@ -105,6 +109,45 @@
         expectThat(text.contains("\r\n0\r\n")).isEqualTo(false)
     }
 
+    /** What a caller receives until its connection ends, and whether a reset ended it. */
+    private fun exchangeUntilEnd(port: Int, request: String): Pair<String, Boolean> = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = 5_000
+        socket.getOutputStream().write(request.toByteArray())
+        val received = ByteArrayOutputStream()
+        val isReset = try {
+            socket.getInputStream().copyTo(received)
+            false
+        } catch (_: SocketException) {
+            true
+        }
+        received.toString() to isReset
+    }
+
+    @Test
+    fun `a whole response or a second head is never written into a response that has started`() {
+        val misuses: List<(Exchange) -> Unit> = listOf(
+            { it.respond(ResponseHead(500), "error".toByteArray()) },
+            { it.startResponse(ResponseHead(500)) },
+        )
+        val requests = listOf("GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        misuses.forEach { misuse ->
+            requests.forEach { request ->
+                val thrown = CompletableFuture<Throwable?>()
+                val port = server {
+                    it.startResponse(ResponseHead(200))
+                    it.send("part".toByteArray())
+                    thrown.complete(runCatching { misuse(it) }.exceptionOrNull())
+                    it.send("rest".toByteArray())
+                    it.end()
+                }.port
+                val (text, _) = exchangeUntilEnd(port, request)
+                expectThat(Regex("HTTP/1").findAll(text).count()).describedAs(text).isLessThanOrEqualTo(1)
+                expectThat(text.contains("rest") || text.contains("error") || text.contains("\r\n0\r\n")).isFalse()
+                expectThat(thrown.get(5, TimeUnit.SECONDS)).isA<IllegalStateException>()
+            }
+        }
+    }
+
     @Test
     fun `callers can be served over TLS`() {
         val bundle = CertificateBuilder()
