Send HTTP/1.0 callers no chunks, and reset their connection unless the stream is complete

Seen: a caller of HTTP/1.0 got chunk sizes as part of the stream, on a connection that stayed open after its end.

Cause: startResponse chose chunks without looking at the caller's version. RFC 9112 forbids them there; such a stream ends with its connection.

Change: the stream goes out as it is, with `connection: close`. The socket is set to reset on close until its last byte is written, so that an abort, a failure or the end of the process can't pass for the end of the stream; over TLS, an abort sends no closing alert. Ruled out: a reset in abort() only, since a router that stops, or is killed, closes its sockets without it.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -60,7 +61,8 @@
 
     private fun enqueue(request: FullHttpRequest, context: ChannelHandlerContext) {
         val mayKeepAlive = { HttpUtil.isKeepAlive(request) && !isClosing() }
-        queued = queued.add(NettyExchange(context, request.toHead(), request.toBytes(), mayKeepAlive, ::onResponded))
+        val isChunkable = request.protocolVersion() != HttpVersion.HTTP_1_0
+        queued = queued.add(NettyExchange(context, request.toHead(), request.toBytes(), isChunkable, mayKeepAlive, ::onResponded))
         startNext()
     }
 
@@ -139,17 +141,20 @@
 
 private enum class ResponseState { NEW, STARTED, ENDED }
 
+/** An exchange whose streamed response is sent in chunks if it [isChunkable], and else ends with the connection. */
 internal class NettyExchange(
     private val context: ChannelHandlerContext,
     override val head: RequestHead,
     override val body: ByteArray,
+    private val isChunkable: Boolean,
     private val mayKeepAlive: () -> Boolean,
     private val onResponded: () -> Unit,
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
     private var state = ResponseState.NEW
-    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE, mayKeepAlive)
+    private var endsWithConnection = false
+    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) { !endsWithConnection && mayKeepAlive() }
 
     override fun respond(head: ResponseHead, content: ByteArray) = inState(ResponseState.NEW) {
         val status = HttpResponseStatus.valueOf(head.status)
@@ -164,7 +169,12 @@
         state = ResponseState.STARTED
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         response.headers().addAll(head.headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (isChunkable) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        } else {
+            endsWithConnection = true
+            resetOnClose(true)
+        }
         if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         context.write(response)
     }
@@ -178,7 +188,8 @@
     override fun abort() = onConnectionThread {
         if (state != ResponseState.ENDED) {
             state = ResponseState.ENDED
-            context.close()
+            // From the first context, the TLS handler is passed by: its closing alert would mark the content as complete.
+            context.pipeline().firstContext()?.close()
         }
     }
 
@@ -214,7 +225,17 @@
         state = ResponseState.ENDED
         listener = null
         val written = context.writeAndFlush(last)
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        if (!keepAlive) {
+            written.addListener {
+                if (it.isSuccess) resetOnClose(false)
+                context.close()
+            }
+        }
         onResponded()
     }
+
+    /** While content ends with the connection, each other end of the connection, as that of the process, must be a reset. */
+    private fun resetOnClose(isEnabled: Boolean) {
+        context.channel().config().setOption(ChannelOption.SO_LINGER, if (isEnabled) 0 else -1)
+    }
 }
--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -94,7 +94,10 @@
     /** Ends the content; the response is complete. */
     public fun end()
 
-    /** Closes the connection before the end of the content, so that the client sees an incomplete response. */
+    /**
+     * Closes the connection before the end of the content, so that the client sees an incomplete response. Content that only the end of
+     * the connection would end, as for a caller of HTTP/1.0, is ended by a reset.
+     */
     public fun abort()
 
     /** Sends the events of the caller's connection to [listener]. */
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -28,6 +28,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -129,7 +130,7 @@
             { it.respond(ResponseHead(500), "error".toByteArray()) },
             { it.startResponse(ResponseHead(500)) },
         )
-        val requests = listOf("GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        val requests = listOf("GET / HTTP/1.1\r\nhost: a\r\n\r\n", "GET / HTTP/1.0\r\n\r\n")
         misuses.forEach { misuse ->
             requests.forEach { request ->
                 val thrown = CompletableFuture<Throwable?>()
@@ -140,14 +141,36 @@
                     it.send("rest".toByteArray())
                     it.end()
                 }.port
-                val (text, _) = exchangeUntilEnd(port, request)
+                val (text, isReset) = exchangeUntilEnd(port, request)
                 expectThat(Regex("HTTP/1").findAll(text).count()).describedAs(text).isLessThanOrEqualTo(1)
                 expectThat(text.contains("rest") || text.contains("error") || text.contains("\r\n0\r\n")).isFalse()
                 expectThat(thrown.get(5, TimeUnit.SECONDS)).isA<IllegalStateException>()
+                if ("HTTP/1.0" in request) expectThat(isReset).isTrue()
             }
         }
     }
 
+    @Test
+    fun `a streamed response to an HTTP 1_0 caller has no chunks, ends with its connection, and with a reset unless it is complete`() {
+        val request = "GET / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n"
+        val whole = server {
+            it.startResponse(ResponseHead(200))
+            it.send("part".toByteArray())
+            it.end()
+        }
+        val (text, isReset) = exchangeUntilEnd(whole.port, request)
+        expectThat(text.lowercase()).contains("connection: close")
+        expectThat(text.lowercase().contains("transfer-encoding")).isFalse()
+        expectThat(text.substringAfter("\r\n\r\n")).isEqualTo("part")
+        expectThat(isReset).isFalse()
+        val aborted = server {
+            it.startResponse(ResponseHead(200))
+            it.send("part".toByteArray())
+            it.after(RESET_DELAY_MILLISECONDS.milliseconds) { it.abort() }
+        }
+        expectThat(exchangeUntilEnd(aborted.port, request).second).isTrue()
+    }
+
     @Test
     fun `callers can be served over TLS`() {
         val bundle = CertificateBuilder()
