Let refusals wait for the responses before them, and handle nothing after a closing response

Seen: a request that was pipelined behind another one and could not be parsed, had no host, another version, too many before it or too long a body was refused at once. The caller took the refusal for the response to its first request, which was running and got none. While that one was being streamed, the refusal cut the stream, as did a pipelined request that expects an interim response. A request behind a response that closes its connection was still handled, and cut off.

Cause: refusals, and Netty's aggregator, wrote past the exchanges; the queue went on after the last response.

Change: a refusal is an exchange that waits its turn; after it, and after any response that closes the connection, nothing more is handled. The aggregator passes on a request with too long a body without it, and sends no interim response while another request is in progress. After too long a body the connection stays where the caller keeps it, as before, so that the refusal isn't lost to a reset. New: that refusal has the form of the others.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -1,11 +1,10 @@
 /**
- * A connection of a caller. Pipelined requests are handled one at a time, responses are written in order, and requests that Netty could
- * not decode are refused.
+ * A connection of a caller. Pipelined requests are handled one at a time, and responses are written in order, refusals of requests that
+ * could not be decoded among them.
  */
 package sniperoute.connection.http
 
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
@@ -20,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpContentException
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
@@ -33,36 +33,62 @@
 
 internal class CallerConnection(private val limits: HttpLimits, private val isClosing: IsClosing, private val handle: HandleExchange) :
     SimpleChannelInboundHandler<FullHttpRequest>() {
-    private var queued: PersistentList<NettyExchange> = persistentListOf()
+    private var queued: PersistentList<QueuedExchange> = persistentListOf()
     private var current: NettyExchange? = null
     private var context: ChannelHandlerContext? = null
 
+    /** Set when the response to the last request that is read closes the connection; later requests are not handled. */
+    private var ignoresRequests = false
+
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+        if (ignoresRequests) return
         val failure = request.decoderResult().cause()
         when {
-            failure != null -> context.refuse(statusOf(failure), "the request cannot be parsed: ${failure.message}")
-            request.protocolVersion() !in supportedVersions -> context.refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
-            !request.hasValidHost() -> context.refuse(HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
+            failure is TooLongHttpContentException -> refuseBody(request, context, failure)
+            failure != null -> refuse(request, context, statusOf(failure), "the request cannot be parsed: ${failure.message}")
+            request.protocolVersion() !in supportedVersions ->
+                refuse(request, context, HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
+            !request.hasValidHost() -> refuse(request, context, HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
             queued.size >= limits.maxPipelinedRequests ->
-                context.refuse(HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
-            else -> enqueue(request, context)
+                refuse(request, context, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
+            else -> enqueue(request, context, { HttpUtil.isKeepAlive(request) && !isClosing() }, handle)
         }
     }
 
+    /** Whether a request is in progress on the connection. */
+    fun hasRequest(): Boolean = current != null || queued.isNotEmpty()
+
     /** Closes the connection unless a request is in progress on it. */
     fun closeIfIdle() {
         val context = context ?: return
-        context.executor().execute { if (current == null && queued.isEmpty()) context.close() }
+        context.executor().execute { if (!hasRequest()) context.close() }
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
 
-    private fun enqueue(request: FullHttpRequest, context: ChannelHandlerContext) {
-        val mayKeepAlive = { HttpUtil.isKeepAlive(request) && !isClosing() }
+    /** The refusal waits for its turn: the responses to earlier requests come first. */
+    private fun refuse(request: FullHttpRequest, context: ChannelHandlerContext, status: HttpResponseStatus, reason: String) {
+        ignoresRequests = true
+        enqueue(request, context, { false }, refusal(status, reason))
+    }
+
+    /** Where the caller may keep the connection, it stays open, so that the refusal isn't lost while the body is still being sent. */
+    private fun refuseBody(request: FullHttpRequest, context: ChannelHandlerContext, failure: TooLongHttpContentException) {
+        val handle = refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, failure.message.orEmpty())
+        enqueue(request, context, { HttpUtil.isKeepAlive(request) && !isClosing() }, handle)
+    }
+
+    private fun refusal(status: HttpResponseStatus, reason: String): HandleExchange {
+        val error = errorResponse(status.code(), "malformed_request", reason, "not-run")
+        return { it.respond(error.head, error.content) }
+    }
+
+    private fun enqueue(request: FullHttpRequest, context: ChannelHandlerContext, mayKeepAlive: () -> Boolean, handle: HandleExchange) {
         val isChunkable = request.protocolVersion() != HttpVersion.HTTP_1_0
-        queued = queued.add(NettyExchange(context, request.toHead(), request.toBytes(), isChunkable, mayKeepAlive, ::onResponded))
+        val exchange = NettyExchange(context, request.toHead(), request.toBytes(), isChunkable, mayKeepAlive, ::onResponded)
+        queued = queued.add(QueuedExchange(exchange, handle))
         startNext()
     }
 
@@ -70,12 +96,16 @@
         if (current != null) return
         val next = queued.firstOrNull() ?: return
         queued = queued.removeAt(0)
-        current = next
-        handle(next)
+        current = next.exchange
+        next.handle(next.exchange)
     }
 
-    private fun onResponded() {
+    private fun onResponded(isKeptAlive: Boolean) {
         current = null
+        if (!isKeptAlive) {
+            ignoresRequests = true
+            queued = queued.clear()
+        }
         startNext()
     }
 
@@ -114,14 +144,7 @@
     else -> HttpResponseStatus.BAD_REQUEST
 }
 
-private fun ChannelHandlerContext.refuse(status: HttpResponseStatus, reason: String) {
-    val error = errorResponse(status.code(), "malformed_request", reason, "not-run")
-    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(error.content))
-    response.headers().addAll(error.head.headers)
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, error.content.size)
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-    writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
-}
+private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange)
 
 private fun FullHttpRequest.toHead(): RequestHead = RequestHead(
     method = method().name(),
@@ -148,7 +171,7 @@
     override val body: ByteArray,
     private val isChunkable: Boolean,
     private val mayKeepAlive: () -> Boolean,
-    private val onResponded: () -> Unit,
+    private val onResponded: (isKeptAlive: Boolean) -> Unit,
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
@@ -231,7 +254,7 @@
                 context.close()
             }
         }
-        onResponded()
+        onResponded(keepAlive)
     }
 
     /** While content ends with the connection, each other end of the connection, as that of the process, must be a reset. */
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -6,17 +6,24 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.group.ChannelGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.TooLongHttpContentException
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
 import io.netty.handler.timeout.IdleStateHandler
@@ -121,14 +128,32 @@
             val decoderConfig = HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.initialLineBytes)
                 .setMaxHeaderSize(limits.headerBytes)
+            val connection = CallerConnection(limits, isClosing, handle)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 headTimeout.bytes,
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
                 IdleStateHandler(0, 0, limits.idleTimeout.inWholeSeconds.toInt()),
-                HttpObjectAggregator(limits.bodyBytes, true),
-                CallerConnection(limits, isClosing, handle),
+                RequestAggregator(limits.bodyBytes, connection::hasRequest),
+                connection,
             )
         }
     }
+
+/**
+ * Collects the bodies of requests. While [isResponding], nothing is written here, as it would stand in the response or before it: a request
+ * whose body is too long is passed on without it and refused in its turn, and no interim response is sent.
+ */
+private class RequestAggregator(maxBodyBytes: Int, private val isResponding: () -> Boolean) : HttpObjectAggregator(maxBodyBytes, true) {
+    override fun newContinueResponse(start: HttpMessage, maxContentLength: Int, pipeline: ChannelPipeline): Any? =
+        if (isResponding()) null else super.newContinueResponse(start, maxContentLength, pipeline)
+
+    override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
+        if (oversized !is HttpRequest) return super.handleOversizedMessage(context, oversized)
+        val request = DefaultFullHttpRequest(oversized.protocolVersion(), oversized.method(), oversized.uri())
+        request.headers().add(oversized.headers())
+        request.decoderResult = DecoderResult.failure(TooLongHttpContentException("the body is longer than ${maxContentLength()} bytes"))
+        context.fireChannelRead(request)
+    }
+}
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -171,6 +171,59 @@
         expectThat(exchangeUntilEnd(aborted.port, request).second).isTrue()
     }
 
+    @Test
+    fun `a refused request is answered after the response before it, and its refusal does not stand in a streamed one`() {
+        val first = "GET /1 HTTP/1.1\r\nhost: a\r\n\r\n"
+        val refused = mapOf(
+            "HTTP/1.1 400" to "GET /2 HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 505" to "GET /2 HTTP/1.9\r\nhost: a\r\n\r\n",
+            "HTTP/1.1 431" to "GET /2 HTTP/1.1\r\nx: ${"y".repeat(2_000)}\r\n\r\n",
+            "HTTP/1.1 413" to "POST /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 5000\r\n\r\n",
+        )
+        val respond: Map<String, (Exchange) -> Unit> = mapOf(
+            "whole" to { it.respond(ResponseHead(200), "first".toByteArray()) },
+            "streamed" to {
+                it.send("st".toByteArray())
+                it.end()
+            },
+        )
+        respond.forEach { (kind, action) ->
+            refused.forEach { (status, request) ->
+                val port = server { exchange ->
+                    if (kind == "streamed") exchange.startResponse(ResponseHead(200)).also { exchange.send("fir".toByteArray()) }
+                    exchange.after(RESET_DELAY_MILLISECONDS.milliseconds) { action(exchange) }
+                }.port
+                val (text, _) = exchangeUntilEnd(port, first + request)
+                val heads = Regex("HTTP/1.1 \\d+").findAll(text).map { it.value }.toList()
+                expectThat(heads).describedAs("$kind, then $status: $text").containsExactly("HTTP/1.1 200", status)
+            }
+        }
+    }
+
+    @Test
+    fun `a pipelined request that expects an interim response does not cut the response before it`() {
+        val port = server { exchange ->
+            exchange.startResponse(ResponseHead(200))
+            exchange.send("first".toByteArray())
+            exchange.after(RESET_DELAY_MILLISECONDS.milliseconds) { exchange.end() }
+        }.port
+        val expecting = "POST /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi"
+        val (text, _) = exchangeUntilEnd(port, "GET /1 HTTP/1.1\r\nhost: a\r\n\r\n$expecting")
+        expectThat(Regex("\r\n0\r\n").findAll(text).count()).describedAs(text).isEqualTo(2)
+    }
+
+    @Test
+    fun `no request is handled after a response that closes its connection`() {
+        val handled = LinkedBlockingQueue<String>()
+        val port = server {
+            handled.put(it.head.path)
+            it.respond(ResponseHead(200), it.body)
+        }.port
+        exchangeUntilEnd(port, "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n")
+        Thread.sleep(RESET_DELAY_MILLISECONDS)
+        expectThat(handled.toList()).containsExactly("/1")
+    }
+
     @Test
     fun `callers can be served over TLS`() {
         val bundle = CertificateBuilder()
