Count only chunks and a length as framing of a response

Seen: a stream with `transfer-encoding: identity`, whose connection ended before any event, was passed on as complete. WireTest "a stream whose transfer coding is not chunked ends with its connection…" failed before (EndStream instead of FailAttempt).

Cause: any transfer coding counted as framing. By RFC 9112, section 6.3, a response whose last coding is not chunked ends with its connection.

Result: the test passes.

--- a/connection/src/main/kotlin/sniperoute/connection/http/ConnectionHeaders.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/ConnectionHeaders.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.toImmutableList
 
 private const val CONNECTION = "connection"
+private const val TRANSFER_ENCODING = "transfer-encoding"
 
 private val connectionHeaders = setOf(
     CONNECTION,
@@ -18,7 +19,7 @@
     "proxy-connection",
     "te",
     "trailer",
-    "transfer-encoding",
+    TRANSFER_ENCODING,
     "upgrade",
     "content-length",
     "expect",
@@ -30,6 +31,16 @@
     return filter { it.name !in connectionHeaders && it.name !in named }.toImmutableList()
 }
 
-/** Whether the message says where its body ends; the body of a response that does not ends with the connection. */
+/**
+ * Whether the message says where its body ends; the body of a response that does not ends with the connection.
+ *
+ * Source: RFC 9112, section 6.3.
+ */
 public val ResponseHead.isFramed: Boolean
-    get() = headers.any { it.name == "content-length" || it.name == "transfer-encoding" }
+    get() {
+        val coding = headers.lastOrNull { it.name == TRANSFER_ENCODING } ?: return headers.any { it.name == "content-length" }
+        return coding.value
+            .substringAfterLast(',')
+            .trim()
+            .equals("chunked", ignoreCase = true)
+    }
