Take only the fields id and data for an event's ID and data

Seen: a field whose name begins with "id", such as `idle: 9`, was taken for the event's ID, at which a broken stream is resumed. HttpTest "only fields named id and data are taken…" failed before (9 instead of 7).

Cause: names of fields were compared by their beginning.

Result: the test passes.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/ServerSentEvents.kt
@@ -67,9 +67,11 @@
         .map { it.trimEnd('\r') }
         .filter { it.isNotEmpty() && !it.startsWith(':') }
         .toList()
-    val data = lines.filter { it.startsWith("data") }.joinToString("\n") { it.fieldValue() }
-    val id = lines.lastOrNull { it.startsWith("id") }?.fieldValue()
+    val data = lines.filter { it.fieldName() == "data" }.joinToString("\n") { it.fieldValue() }
+    val id = lines.lastOrNull { it.fieldName() == "id" }?.fieldValue()
     return ServerSentEvent(id, data, bytes, isComment = lines.isEmpty())
 }
 
+private fun String.fieldName(): String = substringBefore(':')
+
 private fun String.fieldValue(): String = substringAfter(':', "").removePrefix(" ")
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -403,6 +403,13 @@
         expectThat(persistentListOf<String>()).isEqualTo(noIdleConnections<String>().evictAll(address).close)
     }
 
+    @Test
+    fun `only fields named id and data are taken for an event's ID and data`() {
+        val event = newEventStream().parse("id: 7\nidle: 9\ndatabase: x\ndata: a\n\n".toByteArray()).events.single()
+        expectThat(event.id).isEqualTo("7")
+        expectThat(event.data).isEqualTo("a")
+    }
+
     @Test
     fun `events are the same however the stream is split into chunks`() {
         val stream = "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\ndata: [DONE]\n\n"
