Send a stream's head with its first bytes, and nothing but that stream after it

Seen, with callers on real connections (StreamRunsTest): a stream broke before its first event, and the next endpoint answered with a plain response. The caller got the head of the stream and a cut connection instead of the answer.

Cause: the assembly asked whether events had been delivered where the question is whether the response has started, and started it with the head. The text of an error never stood in a caller's stream here only because Netty's encoder refused a second head; on a kept connection such a stream had no end at all.

Change: the head goes with the first bytes, an event or a comment; until then another response can still take its place. After it, each answer that is no stream fails its attempt, and a refusal aborts the response. Weighed: the head at once, as before: it was written but not flushed before the first content, so no caller sees it later now, and one whose stream broke early gets an answer with the receipt of the run that it is from. Comments are not held back: they keep callers from giving up.

What may be repeated has not changed: a request that may run once isn't sent again after a head.

--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -269,6 +269,7 @@
             "shared blocks ${admitted.sharedBlocks.joinToString(" ").ifEmpty { "none" }}"
 
     private fun refuse(refusal: Refusal) {
+        if (assembly.hasStarted) return abortResponse(refusal.message)
         if (context.ledgerKey == null) return sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter)
         releaseCall { sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter) }
     }
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -1,11 +1,13 @@
 /**
  * Assembles one response from one or more attempts. Content is sent to the caller in order, a broken stream is resumed at the next
- * event, and a response is complete only with a proper end.
+ * event, and a response is complete only with a proper end. The head of a stream is sent with its first content, so that until then the
+ * caller can still get another response; afterwards it gets nothing but that stream.
  */
 package sniperoute.request.run.decision
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.connection.endpoint.decision.EventStreamState
 import sniperoute.connection.endpoint.decision.ServerSentEvent
 import sniperoute.connection.endpoint.decision.hasPartialEvent
@@ -139,18 +141,19 @@
 private fun Assembly.onHead(received: ResponseHead): AssemblyStep = when (val parsed = responseParser.parseHead(received)) {
     is NotExecuted -> fail(if (parsed.isMisdirected) AttemptFailureKind.ELSEWHERE else AttemptFailureKind.REJECTED, parsed.reason)
     is InvalidHead -> fail(AttemptFailureKind.WRONG, parsed.reason)
-    is StreamHead -> onStreamHead(received)
+    is StreamHead -> AssemblyStep(copy(head = received, isStream = true))
     is BufferedHead, is ErrorHead ->
-        if (delivered > 0) {
+        if (hasStarted) {
             fail(AttemptFailureKind.WRONG, "the endpoint did not resume the stream but responded with status ${received.status}")
         } else {
             AssemblyStep(copy(head = received, isFault = parsed is ErrorHead))
         }
 }
 
-private fun Assembly.onStreamHead(received: ResponseHead): AssemblyStep {
-    val next = copy(head = received, isStream = true, hasStarted = true)
-    return AssemblyStep(next, if (hasStarted) persistentListOf() else persistentListOf(SendHead(received)))
+/** Returns the step with the effect [sent] on the streamed response, and before it the head, unless that was sent already. */
+private fun Assembly.emit(sent: AssemblyEffect): AssemblyStep {
+    if (hasStarted) return AssemblyStep(this, persistentListOf(sent))
+    return AssemblyStep(copy(hasStarted = true), listOfNotNull(head?.let(::SendHead), sent).toPersistentList())
 }
 
 private fun Assembly.onStreamContent(bytes: ByteArray): AssemblyStep {
@@ -174,9 +177,9 @@
 
 private fun Assembly.onEvent(event: ServerSentEvent): AssemblyStep {
     if (isDone) return fail(AttemptFailureKind.WRONG, "the stream continues after its end marker")
-    if (event.isComment) return AssemblyStep(this, persistentListOf(SendContent(event.bytes)))
+    if (event.isComment) return emit(SendContent(event.bytes))
     return when (val parsed = responseParser.parseEvent(event, lastId, delivered)) {
-        is EndMarker -> AssemblyStep(copy(isDone = true), persistentListOf(SendContent(event.bytes)))
+        is EndMarker -> copy(isDone = true).emit(SendContent(event.bytes))
         is InvalidEvent -> fail(AttemptFailureKind.WRONG, parsed.reason)
         is ContentEvent -> deliver(event, parsed)
     }
@@ -191,16 +194,16 @@
             usage = content.usage ?: usage,
             bytesWithoutContent = 0,
         )
-    val first = if (delivered == 0L) persistentListOf<AssemblyEffect>(ReportFirstToken) else persistentListOf()
-    return AssemblyStep(next, first.add(SendContent(event.bytes)))
+    val sent = next.emit(SendContent(event.bytes))
+    return if (delivered > 0) sent else AssemblyStep(sent.assembly, persistentListOf<AssemblyEffect>(ReportFirstToken).addAll(sent.effects))
 }
 
 private fun Assembly.onStreamEnd(): AssemblyStep = when {
-    isDone -> AssemblyStep(this, persistentListOf(EndStream))
+    isDone -> emit(EndStream)
     responseParser.hasEndMarker -> fail(AttemptFailureKind.BROKEN, "the stream ended without its end marker")
     stream.hasPartialEvent -> fail(AttemptFailureKind.BROKEN, "the stream ended within an event")
     endsWithoutEvent() -> fail(AttemptFailureKind.BROKEN, "the connection ended before an event of the stream")
-    else -> AssemblyStep(copy(isDone = true), persistentListOf(EndStream))
+    else -> copy(isDone = true).emit(EndStream)
 }
 
 /** Whether only the end of the connection ended the stream, and no event came before it: the endpoint has not answered. */
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -16,13 +16,16 @@
 import sniperoute.request.prefix.codec.parsePrompt
 import sniperoute.request.routing.message.AttemptFailureKind
 import sniperoute.request.run.codec.inspectJson
+import sniperoute.request.run.codec.isEventStream
 import sniperoute.request.run.codec.jsonResponseParser
 import sniperoute.request.run.decision.*
-import sniperoute.request.run.message.Usage
+import sniperoute.request.run.message.*
 import sniperoute.version.message.ServiceKind
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.containsExactly
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
@@ -31,6 +34,11 @@
 class AssembliesTest {
     private val streamHead = ResponseStarted(ResponseHead(200, persistentListOf(Header("content-type", "text/event-stream"))))
 
+    private val framedStreamHead =
+        ResponseStarted(
+            streamHead.head.copy(headers = persistentListOf(Header("content-type", "text/event-stream"), Header("content-length", "0"))),
+        )
+
     private fun event(number: Int) = "id: $number\ndata: {\"n\":$number}\n\n"
 
     private fun Assembly.takeAll(vararg events: CallEvent): Pair<Assembly, List<AssemblyEffect>> =
@@ -108,6 +116,40 @@
         expectThat(buffered.takeAll(ResponseStarted(ResponseHead(404)), content("no"), CallCompleted).second.last()).isA<SendResponse>()
     }
 
+    /** A parser of numbered events without an end marker; only streams are told from other responses. */
+    private val numberedEvents = ResponseParser(
+        parseHead = { if (it.isEventStream) StreamHead else BufferedHead },
+        parseEvent = { event, _, _ -> ContentEvent(event.id) },
+        parseBody = { _, _ -> ValidBody() },
+        hasEndMarker = false,
+    )
+
+    @Test
+    fun `a head is sent with the first bytes of its stream, so that a response after an empty broken stream is sent whole`() {
+        val broken = newAssembly(numberedEvents).nextAttempt().takeAll(streamHead, CallFailed(CallFailure.BROKEN, "x"))
+        expectThat(broken.second.single()).isA<FailAttempt>().get { mayRepeat }.isTrue()
+        val answered = broken.first
+            .nextAttempt()
+            .takeAll(ResponseStarted(ResponseHead(404)), content("no"), CallCompleted)
+            .second
+        expectThat(answered.last()).isA<SendResponse>().get { head.status }.isEqualTo(404)
+        val (_, commented) = newAssembly(numberedEvents).nextAttempt().takeAll(streamHead, content(":\n\n"))
+        expectThat(commented.map { it::class }).containsExactly(SendHead::class, SendContent::class)
+        val (_, ended) = newAssembly(numberedEvents).nextAttempt().takeAll(framedStreamHead, CallCompleted)
+        expectThat(ended.map { it::class }).containsExactly(SendHead::class, EndStream::class)
+    }
+
+    @Test
+    fun `a response that is no stream is never sent after comments of a stream`() {
+        val commented = newAssembly(numberedEvents).nextAttempt().takeAll(streamHead, content(":\n\n")).first
+        listOf(200, 204, 302, 404, 429, 500).forEach { status ->
+            val next = ResponseStarted(ResponseHead(status))
+            val effects = commented.nextAttempt().takeAll(next, content("x"), CallCompleted).second
+            expectThat(effects.first()).describedAs("$status").isA<FailAttempt>()
+            expectThat(effects.filterIsInstance<SendResponse>()).isEmpty()
+        }
+    }
+
     @Test
     fun `token usage is found at any position`() {
         val text = """{"id":"x","usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":5}},"z":[1]}"""
