Join no events without a number to a broken stream

Seen: after events 1 to 3 and a break, the next endpoint answered with a stream whose events have no ID. The caller got 1, 2, 3 and then that stream from its start, and a proper end.

Within one attempt, events without IDs are passed on as before, and such a stream is not resumed.

--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -28,7 +28,7 @@
  *
  * @property delivered is the number of events that were sent to the caller.
  * @property deliveredBefore is [delivered] at the start of the current attempt.
- * @property lastId is the ID of the last of them.
+ * @property lastId is the ID of the last of them that had one.
  * @property isResumable is `true` while the last of them had an ID, or there are none.
  * @property head is that of the current attempt, as are [isStream], [isFault], [stream], [content] and [contentBytes].
  * @property isFault is `true` if the current response is an error of the endpoint.
@@ -181,15 +181,23 @@
     return when (val parsed = responseParser.parseEvent(event, lastId, delivered)) {
         is EndMarker -> copy(isDone = true).emit(SendContent(event.bytes))
         is InvalidEvent -> fail(AttemptFailureKind.WRONG, parsed.reason)
-        is ContentEvent -> deliver(event, parsed)
+        is ContentEvent ->
+            if (parsed.id == null && isResumedHere) {
+                fail(AttemptFailureKind.WRONG, "the first event of the resumed stream has no ID")
+            } else {
+                deliver(event, parsed)
+            }
     }
 }
 
+/** Whether the current attempt resumes a stream and has delivered no event yet. */
+private val Assembly.isResumedHere: Boolean get() = delivered > 0 && delivered == deliveredBefore
+
 private fun Assembly.deliver(event: ServerSentEvent, content: ContentEvent): AssemblyStep {
     val next =
         copy(
             delivered = delivered + 1,
-            lastId = content.id,
+            lastId = content.id ?: lastId,
             isResumable = content.id != null,
             usage = content.usage ?: usage,
             bytesWithoutContent = 0,
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -150,6 +150,13 @@
         }
     }
 
+    @Test
+    fun `a resumed stream whose first event has no ID fails, since its place in the stream is unknown`() {
+        val broken = newAssembly(numberedEvents).nextAttempt().takeAll(streamHead, content(event(1))).first
+        val resumed = broken.nextAttempt().takeAll(streamHead, content("data: 1\n\n" + event(2))).second
+        expectThat(resumed.single()).isA<FailAttempt>()
+    }
+
     @Test
     fun `token usage is found at any position`() {
         val text = """{"id":"x","usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":5}},"z":[1]}"""
