Resume a stream only where its route allows it

Seen: a stream of a route that may be repeated but is not resumable went on at another endpoint after a break. StreamRunsTest "a stream of a route that is not resumable is not continued after an event" failed before (events 1 to 6 from two endpoints instead of 1 to 3 and a cut).

Cause: the route's property was read from the configuration and used nowhere. On the platform, routes of kind safe may be repeated and need not know where to resume.

Change: the assembly takes the property; after the first event it allows another attempt only with it. Before, such a request is repeated as before.

Result: the test passes.

--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -81,7 +81,7 @@
     private val exchange: Exchange,
     private val dependencies: RequestRunDependencies,
 ) {
-    private var assembly = newAssembly(context.responseParser)
+    private var assembly = newAssembly(context.responseParser, admitted.route.isResumable)
     private var call: RunningCall? = null
     private var currentDispatch: Dispatch? = null
     private var sentAt = Timestamp.EARLIEST
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -28,6 +28,7 @@
  *
  * @property delivered is the number of events that were sent to the caller.
  * @property deliveredBefore is [delivered] at the start of the current attempt.
+ * @property mayResume is `true` if the route allows to resume a stream.
  * @property lastId is the ID of the last of them that had one.
  * @property isResumable is `true` while the last of them had an ID, or there are none.
  * @property head is that of the current attempt, as are [isStream], [isFault], [stream], [content] and [contentBytes].
@@ -38,6 +39,7 @@
  */
 public data class Assembly(
     public val responseParser: ResponseParser,
+    public val mayResume: Boolean,
     public val delivered: Long,
     public val lastId: String?,
     public val isResumable: Boolean,
@@ -54,9 +56,10 @@
     public val bytesWithoutContent: Long = 0,
 )
 
-/** Returns the assembly of a response before its first attempt. */
-public fun newAssembly(responseParser: ResponseParser): Assembly = Assembly(
+/** Returns the assembly of a response before its first attempt; [mayResume] says whether the route allows to resume a stream. */
+public fun newAssembly(responseParser: ResponseParser, mayResume: Boolean = true): Assembly = Assembly(
     responseParser = responseParser,
+    mayResume = mayResume,
     delivered = 0,
     lastId = null,
     isResumable = true,
@@ -114,7 +117,9 @@
 public data class AssemblyStep(public val assembly: Assembly, public val effects: PersistentList<AssemblyEffect> = persistentListOf())
 
 private fun Assembly.fail(kind: AttemptFailureKind, reason: String, response: SendResponse? = null): AssemblyStep =
-    AssemblyStep(this, persistentListOf(FailAttempt(kind, delivered == 0L || isResumable, reason, response, progress)))
+    AssemblyStep(this, persistentListOf(FailAttempt(kind, mayRepeat, reason, response, progress)))
+
+private val Assembly.mayRepeat: Boolean get() = delivered == 0L || (mayResume && isResumable)
 
 private val Assembly.progress: AnswerProgress
     get() = when {
