End a stream whose connection breaks after its end marker as complete

Seen: the end marker had reached the caller, then the connection broke instead of ending. The request was sent to another endpoint, and the caller's connection was cut in the end. AssembliesTest "a stream whose connection breaks after its end marker is complete" failed before (FailAttempt with mayRepeat instead of EndStream).

Cause: a failed call failed the attempt whatever had been received.

Change: after the end marker a failed call ends the stream, and no attempt follows that has one. Streams without an end marker still need a proper end.

Result: the test passes.

--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -119,7 +119,7 @@
 private fun Assembly.fail(kind: AttemptFailureKind, reason: String, response: SendResponse? = null): AssemblyStep =
     AssemblyStep(this, persistentListOf(FailAttempt(kind, mayRepeat, reason, response, progress)))
 
-private val Assembly.mayRepeat: Boolean get() = delivered == 0L || (mayResume && isResumable)
+private val Assembly.mayRepeat: Boolean get() = !isDone && (delivered == 0L || (mayResume && isResumable))
 
 private val Assembly.progress: AnswerProgress
     get() = when {
@@ -133,7 +133,7 @@
     is ResponseStarted -> onHead(event.head)
     is ContentReceived -> if (isStream) onStreamContent(event.bytes) else onBufferedContent(event.bytes)
     is CallCompleted -> if (isStream) onStreamEnd() else onBufferedEnd()
-    is CallFailed -> fail(event.failure.toAttemptFailureKind(), event.reason)
+    is CallFailed -> if (isStream && isDone) emit(EndStream) else fail(event.failure.toAttemptFailureKind(), event.reason)
 }
 
 private fun CallFailure.toAttemptFailureKind(): AttemptFailureKind = when (this) {
--- a/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/AssembliesTest.kt
@@ -157,6 +157,13 @@
         expectThat(resumed.single()).isA<FailAttempt>()
     }
 
+    @Test
+    fun `a stream whose connection breaks after its end marker is complete`() {
+        val end = content(event(1) + "data: [DONE]\n\n")
+        val (_, effects) = streamed().nextAttempt().takeAll(streamHead, end, CallFailed(CallFailure.BROKEN, "x"))
+        expectThat(effects.last()).isA<EndStream>()
+    }
+
     @Test
     fun `token usage is found at any position`() {
         val text = """{"id":"x","usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":5}},"z":[1]}"""
