--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -58,46 +59,54 @@
         val failure = request.decoderResult().cause()
         when {
             failure != null -> refuse(request, statusOf(failure), "the request cannot be parsed: ${failure.message}")
-            request !is FullHttpRequest -> refuse(
-                request,
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                "the body of the request is too long",
-            )
+            request !is FullHttpRequest -> refuseBody(request)
             request.protocolVersion() !in supportedVersions ->
                 refuse(request, HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
             !request.hasValidHost() -> refuse(request, HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
             queued.size >= currentLimits().maxPipelinedRequests ->
                 refuse(request, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
-            else -> accept(request)
+            else -> accept(request, request.toBytes(), handle)
         }
         watchIdleness(currentLimits().idleTimeout)
         startNext()
     }
 
+    /** Whether a request is in progress on the connection. */
+    fun hasRequest(): Boolean = current != null || queued.isNotEmpty()
+
     /** Closes the connection unless a request is in progress on it. */
     fun closeIfIdle() {
         val context = context ?: return
-        context.executor().execute { if (!isEnding && current == null && queued.isEmpty()) end() }
+        context.executor().execute { if (!isEnding && !hasRequest()) end() }
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
 
-    private fun accept(request: FullHttpRequest) {
+    private fun accept(request: HttpRequest, body: ByteArray, handle: HandleExchange) {
         val asksToKeepAlive = HttpUtil.isKeepAlive(request)
         isEnding = !asksToKeepAlive
-        enqueue(request, request.toBytes(), handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing())) }
+        enqueue(request, body, handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing())) }
     }
 
+    /** Where the caller may keep the connection, it stays open, so that the refusal isn't lost while the body is still being sent. */
+    private fun refuseBody(request: HttpRequest) =
+        accept(request, ByteArray(0), refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body of the request is too long"))
+
     private fun refuse(request: HttpRequest, status: HttpResponseStatus, reason: String) {
         isEnding = true
+        enqueue(request, ByteArray(0), refusal(status, reason)) { false }
+    }
+
+    private fun refusal(status: HttpResponseStatus, reason: String): HandleExchange {
         val error = errorResponse(status.code(), "malformed_request", reason, "not-run")
-        enqueue(request, ByteArray(0), { it.respond(error.head, error.content) }) { false }
+        return { it.respond(error.head, error.content) }
     }
 
     private fun enqueue(request: HttpRequest, body: ByteArray, handle: HandleExchange, mayKeepAlive: () -> Boolean) {
-        val exchange = NettyExchange(checkNotNull(context), request.toHead(), body, mayKeepAlive, ::onResponded)
+        val isChunkable = request.protocolVersion() != HttpVersion.HTTP_1_0
+        val exchange = NettyExchange(checkNotNull(context), request.toHead(), body, isChunkable, mayKeepAlive, ::onResponded)
         queued = queued.add(QueuedExchange(exchange, handle))
     }
 
@@ -128,7 +137,7 @@
     /** Reads no further request, and closes the connection unless there is still one to respond to. */
     private fun end() {
         isEnding = true
-        if (current == null && queued.isEmpty()) context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
+        if (!hasRequest()) context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
     }
 
     private fun watchIdleness(timeout: Duration) {
@@ -205,55 +214,77 @@
     headers.forEach { add(it.name, it.value) }
 }
 
+private enum class ResponseState { NEW, STARTED, ENDED }
+
+/** An exchange whose streamed response is sent in chunks if it [isChunkable], and else ends with the connection. */
 internal class NettyExchange(
     private val context: ChannelHandlerContext,
     override val head: RequestHead,
     override val body: ByteArray,
+    private val isChunkable: Boolean,
     private val mayKeepAlive: () -> Boolean,
     private val onResponded: (isLast: Boolean) -> Unit,
 ) : Exchange {
     var listener: CallerConnectionListener? = null
         private set
-    private var isStarted = false
-    private var isFinished = false
-    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE, mayKeepAlive)
-
-    override fun respond(head: ResponseHead, content: ByteArray) = onConnectionThread {
-        if (!isFinished) {
-            val status = HttpResponseStatus.valueOf(head.status)
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
-            response.headers().addAll(head.headers)
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.size)
-            finish(response)
-        }
+    private var state = ResponseState.NEW
+    private var endsWithConnection = false
+    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) { !endsWithConnection && mayKeepAlive() }
+
+    override fun respond(head: ResponseHead, content: ByteArray) = inState(ResponseState.NEW) {
+        val status = HttpResponseStatus.valueOf(head.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content))
+        response.headers().addAll(head.headers)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.size)
+        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        finish(response)
     }
 
-    override fun startResponse(head: ResponseHead) = onConnectionThread {
-        isStarted = true
+    override fun startResponse(head: ResponseHead) = inState(ResponseState.NEW) {
+        state = ResponseState.STARTED
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         response.headers().addAll(head.headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (isChunkable) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        } else {
+            endsWithConnection = true
+            resetOnClose(true)
+        }
         if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        if (!isFinished) context.write(response)
+        context.write(response)
     }
 
-    override fun send(content: ByteArray) = onConnectionThread {
-        if (!isFinished) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(content)))
+    override fun send(content: ByteArray) = inState(ResponseState.STARTED) {
+        context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(content)))
     }
 
-    override fun end() = onConnectionThread {
-        if (!isFinished) finish(LastHttpContent.EMPTY_LAST_CONTENT)
-    }
+    override fun end() = inState(ResponseState.STARTED) { finish(LastHttpContent.EMPTY_LAST_CONTENT) }
 
     override fun abort() = onConnectionThread {
-        isFinished = true
-        context.close()
+        if (state != ResponseState.ENDED) {
+            state = ResponseState.ENDED
+            // From the first context, the TLS handler is passed by: its closing alert would mark the content as complete.
+            context.pipeline().firstContext()?.close()
+        }
+    }
+
+    /** The one place that keeps a response from standing in another one: only a call that the state expects reaches the connection. */
+    private fun inState(expected: ResponseState, action: () -> Unit) = onConnectionThread {
+        when (state) {
+            expected -> action()
+            ResponseState.ENDED -> Unit
+            else -> {
+                val actual = state
+                abort()
+                error("the response is $actual, not $expected")
+            }
+        }
     }
 
     /** Ends the exchange after a fault of its handler: whether the request ran is not known. */
     fun fail() {
         val error = errorResponse(HttpStatus.INTERNAL_ERROR, "internal_error", "the request could not be handled", "may-have-run")
-        if (isStarted) abort() else respond(error.head, error.content)
+        if (state == ResponseState.NEW) respond(error.head, error.content) else abort()
     }
 
     override fun setListener(listener: CallerConnectionListener) = onConnectionThread {
@@ -272,10 +303,14 @@
     }
 
     private fun finish(last: Any) {
-        isFinished = true
+        state = ResponseState.ENDED
         listener = null
-        if (last is DefaultFullHttpResponse && !keepAlive) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        context.writeAndFlush(last)
+        context.writeAndFlush(last).addListener { if (it.isSuccess && endsWithConnection) resetOnClose(false) }
         onResponded(!keepAlive)
     }
+
+    /** While content ends with the connection, each other end of the connection, as that of the process, must be a reset. */
+    private fun resetOnClose(isEnabled: Boolean) {
+        context.channel().config().setOption(ChannelOption.SO_LINGER, if (isEnabled) 0 else -1)
+    }
 }
--- a/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/Exchanges.kt
@@ -72,7 +72,8 @@
 
 /**
  * A request and the means to respond to it: either one call of [respond], or [startResponse], any number of [send], and one of [end] or
- * [abort]. All functions may be called on any thread; calls take effect in order.
+ * [abort]. All functions may be called on any thread; calls take effect in order. A call out of this sequence aborts the response and
+ * throws [IllegalStateException] on the thread of the caller's connection, but after the end of the response it has no effect.
  */
 public interface Exchange {
     /** The request's head. */
@@ -93,7 +94,10 @@
     /** Ends the content; the response is complete. */
     public fun end()
 
-    /** Closes the connection before the end of the content, so that the client sees an incomplete response. */
+    /**
+     * Closes the connection before the end of the content, so that the client sees an incomplete response. Content that only the end of
+     * the connection would end, as for a caller of HTTP/1.0, is ended by a reset.
+     */
     public fun abort()
 
     /** Sends the events of the caller's connection to [listener]. */
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -122,14 +122,15 @@
             val decoderConfig = HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.initialLineBytes)
                 .setMaxHeaderSize(limits.headerBytes)
+            val connection = CallerConnection(currentLimits, isClosing, handle)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 headTimeout.bytes,
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
                 idleStateHandler(limits.idleTimeout),
-                RequestAggregator(limits.bodyBytes),
-                CallerConnection(currentLimits, isClosing, handle),
+                RequestAggregator(limits.bodyBytes, connection::hasRequest),
+                connection,
             )
         }
     }
--- a/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
@@ -12,15 +12,15 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 
-internal class RequestAggregator(maxBytes: Int) : HttpObjectAggregator(maxBytes, true) {
+internal class RequestAggregator(maxBytes: Int, private val isResponding: () -> Boolean) : HttpObjectAggregator(maxBytes, true) {
     override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
         val request = oversized as HttpRequest
         context.fireChannelRead(DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()))
     }
 
-    /** Returns no response that would precede those of earlier requests: only an interim one, to a request that is not too long. */
+    /** Returns no response that would stand in or before those to earlier requests: only an interim one, to a request that is not too long. */
     override fun newContinueResponse(start: HttpMessage, maxContentLength: Int, pipeline: ChannelPipeline): Any? {
-        val isInterim = HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maxContentLength)
+        val isInterim = !isResponding() && HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maxContentLength)
         return if (isInterim) super.newContinueResponse(start, maxContentLength, pipeline) else null
     }
 }
--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -28,11 +28,15 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
@@ -212,6 +216,120 @@
         expectThat(text.contains("\r\n0\r\n")).isEqualTo(false)
     }
 
+    /** What a caller receives until its connection ends, and whether a reset ended it. */
+    private fun exchangeUntilEnd(port: Int, request: String): Pair<String, Boolean> = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = 5_000
+        socket.getOutputStream().write(request.toByteArray())
+        val received = ByteArrayOutputStream()
+        val isReset = try {
+            socket.getInputStream().copyTo(received)
+            false
+        } catch (_: SocketException) {
+            true
+        }
+        received.toString() to isReset
+    }
+
+    @Test
+    fun `a whole response or a second head is never written into a response that has started`() {
+        val misuses: List<(Exchange) -> Unit> = listOf(
+            { it.respond(ResponseHead(500), "error".toByteArray()) },
+            { it.startResponse(ResponseHead(500)) },
+        )
+        val requests = listOf("GET / HTTP/1.1\r\nhost: a\r\n\r\n", "GET / HTTP/1.0\r\n\r\n")
+        misuses.forEach { misuse ->
+            requests.forEach { request ->
+                val thrown = CompletableFuture<Throwable?>()
+                val port = server {
+                    it.startResponse(ResponseHead(200))
+                    it.send("part".toByteArray())
+                    thrown.complete(runCatching { misuse(it) }.exceptionOrNull())
+                    it.send("rest".toByteArray())
+                    it.end()
+                }.port
+                val (text, isReset) = exchangeUntilEnd(port, request)
+                expectThat(Regex("HTTP/1").findAll(text).count()).describedAs(text).isLessThanOrEqualTo(1)
+                expectThat(text.contains("rest") || text.contains("error") || text.contains("\r\n0\r\n")).isFalse()
+                expectThat(thrown.get(5, TimeUnit.SECONDS)).isA<IllegalStateException>()
+                if ("HTTP/1.0" in request) expectThat(isReset).isTrue()
+            }
+        }
+    }
+
+    @Test
+    fun `a streamed response to an HTTP 1_0 caller has no chunks, ends with its connection, and with a reset unless it is complete`() {
+        val request = "GET / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n"
+        val whole = server {
+            it.startResponse(ResponseHead(200))
+            it.send("part".toByteArray())
+            it.end()
+        }
+        val (text, isReset) = exchangeUntilEnd(whole.port, request)
+        expectThat(text.lowercase()).contains("connection: close")
+        expectThat(text.lowercase().contains("transfer-encoding")).isFalse()
+        expectThat(text.substringAfter("\r\n\r\n")).isEqualTo("part")
+        expectThat(isReset).isFalse()
+        val aborted = server {
+            it.startResponse(ResponseHead(200))
+            it.send("part".toByteArray())
+            it.after(RESET_DELAY_MILLISECONDS.milliseconds) { it.abort() }
+        }
+        expectThat(exchangeUntilEnd(aborted.port, request).second).isTrue()
+    }
+
+    @Test
+    fun `a refused request is answered after the response before it, and its refusal does not stand in a streamed one`() {
+        val first = "GET /1 HTTP/1.1\r\nhost: a\r\n\r\n"
+        val refused = mapOf(
+            "HTTP/1.1 400" to "GET /2 HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 505" to "GET /2 HTTP/1.9\r\nhost: a\r\n\r\n",
+            "HTTP/1.1 431" to "GET /2 HTTP/1.1\r\nx: ${"y".repeat(2_000)}\r\n\r\n",
+            "HTTP/1.1 413" to "POST /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 5000\r\n\r\n",
+        )
+        val respond: Map<String, (Exchange) -> Unit> = mapOf(
+            "whole" to { it.respond(ResponseHead(200), "first".toByteArray()) },
+            "streamed" to {
+                it.send("st".toByteArray())
+                it.end()
+            },
+        )
+        respond.forEach { (kind, action) ->
+            refused.forEach { (status, request) ->
+                val port = server { exchange ->
+                    if (kind == "streamed") exchange.startResponse(ResponseHead(200)).also { exchange.send("fir".toByteArray()) }
+                    exchange.after(RESET_DELAY_MILLISECONDS.milliseconds) { action(exchange) }
+                }.port
+                val (text, _) = exchangeUntilEnd(port, first + request)
+                val heads = Regex("HTTP/1.1 \\d+").findAll(text).map { it.value }.toList()
+                expectThat(heads).describedAs("$kind, then $status: $text").containsExactly("HTTP/1.1 200", status)
+            }
+        }
+    }
+
+    @Test
+    fun `a pipelined request that expects an interim response does not cut the response before it`() {
+        val port = server { exchange ->
+            exchange.startResponse(ResponseHead(200))
+            exchange.send("first".toByteArray())
+            exchange.after(RESET_DELAY_MILLISECONDS.milliseconds) { exchange.end() }
+        }.port
+        val expecting = "POST /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi"
+        val (text, _) = exchangeUntilEnd(port, "GET /1 HTTP/1.1\r\nhost: a\r\n\r\n$expecting")
+        expectThat(Regex("\r\n0\r\n").findAll(text).count()).describedAs(text).isEqualTo(2)
+    }
+
+    @Test
+    fun `no request is handled after a response that closes its connection`() {
+        val handled = LinkedBlockingQueue<String>()
+        val port = server {
+            handled.put(it.head.path)
+            it.respond(ResponseHead(200), it.body)
+        }.port
+        exchangeUntilEnd(port, "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n")
+        Thread.sleep(RESET_DELAY_MILLISECONDS)
+        expectThat(handled.toList()).containsExactly("/1")
+    }
+
     @Test
     fun `callers can be served over TLS`() {
         val bundle = CertificateBuilder()
@@ -391,6 +509,13 @@
         expectThat(persistentListOf<String>()).isEqualTo(noIdleConnections<String>().evictAll(address).close)
     }
 
+    @Test
+    fun `only fields named id and data are taken for an event's ID and data`() {
+        val event = newEventStream().parse("id: 7\nidle: 9\ndatabase: x\ndata: a\n\n".toByteArray()).events.single()
+        expectThat(event.id).isEqualTo("7")
+        expectThat(event.data).isEqualTo("a")
+    }
+
     @Test
     fun `events are the same however the stream is split into chunks`() {
         val stream = "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\ndata: [DONE]\n\n"
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -85,7 +85,7 @@
     private val exchange: Exchange,
     private val dependencies: RequestRunDependencies,
 ) {
-    private var assembly = newAssembly(context.responseParser)
+    private var assembly = newAssembly(context.responseParser, admitted.route.isResumable)
     private var call: RunningCall? = null
     private var currentDispatch: Dispatch? = null
     private var sentAt = Timestamp.EARLIEST
@@ -299,6 +299,7 @@
             "shared blocks ${admitted.sharedBlocks.joinToString(" ").ifEmpty { "none" }}"
 
     private fun refuse(refusal: Refusal) {
+        if (assembly.hasStarted) return abortResponse(refusal.message)
         if (context.ledgerKey == null) return sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter)
         releaseCall { sendRefusal(refusal.kind, refusal.message, refusal.outcome, refusal.retryAfter) }
     }
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -1,11 +1,13 @@
 /**
  * Assembles one response from one or more attempts. Content is sent to the caller in order, a broken stream is resumed at the next
- * event, and a response is complete only with a proper end.
+ * event, and a response is complete only with a proper end. The head of a stream is sent with its first content, so that until then the
+ * caller can still get another response; afterwards it gets nothing but that stream.
  */
 package sniperoute.request.run.decision
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.connection.endpoint.decision.EventStreamState
 import sniperoute.connection.endpoint.decision.ServerSentEvent
 import sniperoute.connection.endpoint.decision.hasPartialEvent
@@ -27,7 +29,8 @@
  *
  * @property delivered is the number of events that were sent to the caller.
  * @property deliveredBefore is [delivered] at the start of the current attempt.
- * @property lastId is the ID of the last of them.
+ * @property mayResume is `true` if the route allows to resume a stream.
+ * @property lastId is the ID of the last of them that had one.
  * @property isResumable is `true` while the last of them had an ID, or there are none.
  * @property head is that of the current attempt, as are [isStream], [isFault], [stream], [content] and [contentBytes].
  * @property isFault is `true` if the current response is an error of the endpoint.
@@ -37,6 +40,7 @@
  */
 public data class Assembly(
     public val responseParser: ResponseParser,
+    public val mayResume: Boolean,
     public val delivered: Long,
     public val lastId: String?,
     public val isResumable: Boolean,
@@ -53,9 +57,10 @@
     public val bytesWithoutContent: Long = 0,
 )
 
-/** Returns the assembly of a response before its first attempt. */
-public fun newAssembly(responseParser: ResponseParser): Assembly = Assembly(
+/** Returns the assembly of a response before its first attempt; [mayResume] says whether the route allows to resume a stream. */
+public fun newAssembly(responseParser: ResponseParser, mayResume: Boolean = true): Assembly = Assembly(
     responseParser = responseParser,
+    mayResume = mayResume,
     delivered = 0,
     lastId = null,
     isResumable = true,
@@ -119,7 +124,7 @@
     AssemblyStep(this, persistentListOf(FailAttempt(kind, mayRepeat, reason, response, progress)))
 
 /** Whether another attempt could go on from here. */
-private val Assembly.mayRepeat: Boolean get() = delivered == 0L || isResumable
+private val Assembly.mayRepeat: Boolean get() = !isDone && (delivered == 0L || (mayResume && isResumable))
 
 private val Assembly.progress: AnswerProgress
     get() = when {
@@ -133,7 +138,7 @@
     is ResponseStarted -> onHead(event.head)
     is ContentReceived -> if (isStream) onStreamContent(event.bytes) else onBufferedContent(event.bytes)
     is CallCompleted -> if (isStream) onStreamEnd() else onBufferedEnd()
-    is CallFailed -> fail(event.failure.toAttemptFailureKind(), event.reason)
+    is CallFailed -> if (isStream && isDone) emit(EndStream) else fail(event.failure.toAttemptFailureKind(), event.reason)
     is CallStalled -> AssemblyStep(this, persistentListOf(ReportStall(mayRepeat, event.reason)))
 }
 
@@ -147,18 +152,19 @@
 private fun Assembly.onHead(received: ResponseHead): AssemblyStep = when (val parsed = responseParser.parseHead(received)) {
     is NotExecuted -> fail(if (parsed.isMisdirected) AttemptFailureKind.ELSEWHERE else AttemptFailureKind.REJECTED, parsed.reason)
     is InvalidHead -> fail(AttemptFailureKind.WRONG, parsed.reason)
-    is StreamHead -> onStreamHead(received)
+    is StreamHead -> AssemblyStep(copy(head = received, isStream = true))
     is BufferedHead, is ErrorHead ->
-        if (delivered > 0) {
+        if (hasStarted) {
             fail(AttemptFailureKind.WRONG, "the endpoint did not resume the stream but responded with status ${received.status}")
         } else {
             AssemblyStep(copy(head = received, isFault = parsed is ErrorHead))
         }
 }
 
-private fun Assembly.onStreamHead(received: ResponseHead): AssemblyStep {
-    val next = copy(head = received, isStream = true, hasStarted = true)
-    return AssemblyStep(next, if (hasStarted) persistentListOf() else persistentListOf(SendHead(received)))
+/** Returns the step with the effect [sent] on the streamed response, and before it the head, unless that was sent already. */
+private fun Assembly.emit(sent: AssemblyEffect): AssemblyStep {
+    if (hasStarted) return AssemblyStep(this, persistentListOf(sent))
+    return AssemblyStep(copy(hasStarted = true), listOfNotNull(head?.let(::SendHead), sent).toPersistentList())
 }
 
 private fun Assembly.onStreamContent(bytes: ByteArray): AssemblyStep {
@@ -185,33 +191,41 @@
 
 private fun Assembly.onEvent(event: ServerSentEvent): AssemblyStep {
     if (isDone) return fail(AttemptFailureKind.WRONG, "the stream continues after its end marker")
-    if (event.isComment) return AssemblyStep(this, persistentListOf(SendContent(event.bytes)))
+    if (event.isComment) return emit(SendContent(event.bytes))
     return when (val parsed = responseParser.parseEvent(event, lastId, delivered)) {
-        is EndMarker -> AssemblyStep(copy(isDone = true), persistentListOf(SendContent(event.bytes)))
+        is EndMarker -> copy(isDone = true).emit(SendContent(event.bytes))
         is InvalidEvent -> fail(AttemptFailureKind.WRONG, parsed.reason)
-        is ContentEvent -> deliver(event, parsed)
+        is ContentEvent ->
+            if (parsed.id == null && isResumedHere) {
+                fail(AttemptFailureKind.WRONG, "the first event of the resumed stream has no ID")
+            } else {
+                deliver(event, parsed)
+            }
     }
 }
 
+/** Whether the current attempt resumes a stream and has delivered no event yet. */
+private val Assembly.isResumedHere: Boolean get() = delivered > 0 && delivered == deliveredBefore
+
 private fun Assembly.deliver(event: ServerSentEvent, content: ContentEvent): AssemblyStep {
     val next =
         copy(
             delivered = delivered + 1,
-            lastId = content.id,
+            lastId = content.id ?: lastId,
             isResumable = content.id != null,
             usage = content.usage ?: usage,
             bytesWithoutContent = 0,
         )
-    val first = if (delivered == 0L) persistentListOf<AssemblyEffect>(ReportFirstToken) else persistentListOf()
-    return AssemblyStep(next, first.add(SendContent(event.bytes)))
+    val sent = next.emit(SendContent(event.bytes))
+    return if (delivered > 0) sent else AssemblyStep(sent.assembly, persistentListOf<AssemblyEffect>(ReportFirstToken).addAll(sent.effects))
 }
 
 private fun Assembly.onStreamEnd(): AssemblyStep = when {
-    isDone -> AssemblyStep(this, persistentListOf(EndStream))
+    isDone -> emit(EndStream)
     responseParser.hasEndMarker -> fail(AttemptFailureKind.BROKEN, "the stream ended without its end marker")
     stream.hasPartialEvent -> fail(AttemptFailureKind.BROKEN, "the stream ended within an event")
     endsWithoutEvent() -> fail(AttemptFailureKind.BROKEN, "the connection ended before an event of the stream")
-    else -> AssemblyStep(copy(isDone = true), persistentListOf(EndStream))
+    else -> copy(isDone = true).emit(EndStream)
 }
 
 /** Whether only the end of the connection ended the stream, and no event came before it: the endpoint has not answered. */
