Believe a response of an endpoint only with the ID of the call

Callers saw: 503 with Retry-After, "not run", for a request that an endpoint had run. The endpoint had written an earlier refusal once more on a connection that was kept.

Cause: a response other than a success was believed without a request ID, also on a kept connection, and a connection could carry two calls with one ID: callers may choose theirs alike. So a refusal that was written once more passed for the answer to the next call, and any other error too. Requests that may run only once were not concerned, nor were second attempts: both ask for a new connection, and the run closes the connection of an attempt that was refused. Requests that may be repeated were: told "not run", given their tokens back and not counted as a possible run.

Evidence, before the change: "a request that an endpoint ran is not refused as not run..." got 503 instead of 502; on a kept connection a 503 without an ID completed the call instead of failing it; the second call with an ID got the repeated refusal of the first instead of its own answer; where IDs are required, a 400 without one completed the call; an endpoint without IDs kept its connection. "a request that may run only once never shares a connection..." passed before as well, as did the cases of interim responses and of the request that is repeated; they guard what holds.

Change: a response counts only with the ID of its call, whatever its status. Without an ID it counts only as the first of a connection, which is then closed, and not at all where the protocol of the front end demands IDs. A connection carries no ID twice, and is closed after 256 of them. What does not count fails the attempt as a crossed answer: it may have run.

Why this is enough: of two responses on a connection with the same ID, the first is the answer to the only call with that ID.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
@@ -1,6 +1,6 @@
 /**
- * HTTP calls to endpoints over keep-alive connections. A connection serves one call at a time. It is closed and not reused when a call
- * on it was cancelled, timed out, or got an unexpected response.
+ * HTTP calls to endpoints over keep-alive connections. A connection serves one call at a time and no two calls with the same request ID.
+ * It is closed and not reused when a call on it was cancelled, timed out, or got an unexpected response or one without the call's ID.
  */
 package sniperoute.connection.endpoint
 
@@ -36,7 +36,10 @@
 /** Endpoints are a few milliseconds away: one that does not accept a connection within this time counts as unreachable. */
 private val CONNECT_TIMEOUT: Duration = 300.milliseconds
 
-/** The header [name] in which a response repeats the request's ID; successful responses must have it when [isRequired]. */
+/**
+ * The header [name] in which a response repeats the request's ID. Every response must have it when [isRequired], else every one but the
+ * first of a connection.
+ */
 public data class RequestIdHeader(public val name: String = "x-request-id", public val isRequired: Boolean = false)
 
 /** Calls endpoints. A call runs on the thread that started it when that is one of [threads], and on any of them otherwise. */
@@ -65,12 +68,12 @@
 internal class ConnectionPool(private val loop: EventLoop, private val clock: Clock, private val requestIdHeader: RequestIdHeader) {
     private var idle: IdleConnections<Channel> = noIdleConnections()
 
-    fun takeIdleOrNull(address: EndpointAddress): Channel? {
-        val choice = idle.choose(address, clock())
+    fun takeIdleOrNull(call: EndpointCall): Channel? {
+        val choice = idle.choose(call.address, clock()) { it.connection.mayCarry(call) }
         idle = choice.remaining
         choice.close.forEach { it.close() }
         val channel = choice.reuse ?: return null
-        return if (channel.isActive) channel else takeIdleOrNull(address)
+        return if (channel.isActive) channel else takeIdleOrNull(call)
     }
 
     fun release(address: EndpointAddress, channel: Channel, keepAliveTimeout: Duration?) {
@@ -105,6 +108,8 @@
     }
 }
 
+private val Channel.connection: EndpointConnection get() = pipeline().get(EndpointConnection::class.java)
+
 /** A call that runs on the event loop [loop], with its connection once it has one. */
 private class EventLoopCall(
     private val call: EndpointCall,
@@ -118,7 +123,7 @@
 
     fun start() {
         if (isCancelled) return
-        val idle = if (call.requiresNewConnection) null else pool.takeIdleOrNull(call.address)
+        val idle = if (call.requiresNewConnection) null else pool.takeIdleOrNull(call)
         if (idle != null) {
             use(idle)
         } else {
@@ -135,7 +140,7 @@
     }
 
     private fun use(channel: Channel) {
-        val handler = channel.pipeline().get(EndpointConnection::class.java)
+        val handler = channel.connection
         connection = handler
         handler.begin(call, onEvent)
         if (!isReadEnabled) handler.setReading(false)
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -17,6 +17,11 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.ScheduledFuture
+import sniperoute.connection.endpoint.decision.add
+import sniperoute.connection.endpoint.decision.isAnswered
+import sniperoute.connection.endpoint.decision.mayCarry
+import sniperoute.connection.endpoint.decision.mayCarryMore
+import sniperoute.connection.endpoint.decision.noCarriedCalls
 import sniperoute.connection.endpoint.message.CallCompleted
 import sniperoute.connection.endpoint.message.CallFailed
 import sniperoute.connection.endpoint.message.CallFailure
@@ -52,15 +57,20 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var served: ServedCall? = null
+    private var carried = noCarriedCalls()
     private var idleTimer: ScheduledFuture<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
 
+    /** Whether a response to [call] can be told from those to earlier calls on this connection. */
+    fun mayCarry(call: EndpointCall): Boolean = carried.mayCarry(call.requestId)
+
     /** Sends [call]; the connection must be idle. */
     fun begin(call: EndpointCall, onEvent: OnCallEvent) {
         check(served == null) { "the connection to $address serves another call already" }
+        carried = carried.add(call.requestId)
         val current = ServedCall(call, onEvent)
         served = current
         restartIdleTimer()
@@ -108,12 +118,11 @@
     private fun onResponseHead(current: ServedCall, response: HttpResponse) {
         val receivedId = response.headers().get(requestIdHeader.name)
         val expectedId = current.call.requestId
-        val isMismatch = expectedId != null && receivedId != expectedId && (receivedId != null || requiresRequestId(response))
-        if (current.hasResponseHead || isMismatch) {
+        if (current.hasResponseHead || !carried.isAnswered(expectedId, receivedId, requestIdHeader.isRequired)) {
             return fail(CallFailure.CROSSED, "the response has request ID $receivedId instead of $expectedId")
         }
         current.hasResponseHead = true
-        current.isReusable = HttpUtil.isKeepAlive(response) &&
+        current.isReusable = carried.mayCarryMore(expectedId, receivedId) && HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
         current.keepAliveTimeout = response
             .headers()
@@ -123,9 +132,6 @@
         current.onEvent(ResponseStarted(ResponseHead(response.status().code(), response.headers().toImmutable())))
     }
 
-    private fun requiresRequestId(response: HttpResponse): Boolean =
-        requestIdHeader.isRequired && response.status().codeClass() == HttpStatusClass.SUCCESS
-
     private fun onContent(current: ServedCall, content: HttpContent) {
         if (content.content().isReadable) {
             current.contentBytes += content.content().readableBytes()
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/IdleConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/decision/IdleConnections.kt
@@ -35,12 +35,19 @@
 /** The connection to [reuse], if there is one, the connections to [close], and the pool without either. */
 public data class IdleChoice<C>(public val reuse: C?, public val close: PersistentList<C>, public val remaining: IdleConnections<C>)
 
-/** Chooses the connection to [address] that was used most recently, so that surplus connections expire; expired ones are to be closed. */
-public fun <C> IdleConnections<C>.choose(address: EndpointAddress, now: Timestamp): IdleChoice<C> {
+/**
+ * Chooses the connection to [address] that was used most recently among those that are [isUsable], so that surplus connections expire;
+ * expired ones are to be closed.
+ */
+public fun <C> IdleConnections<C>.choose(
+    address: EndpointAddress,
+    now: Timestamp,
+    isUsable: (C) -> Boolean = { true },
+): IdleChoice<C> {
     val idle = byAddress[address] ?: return IdleChoice(null, persistentListOf(), this)
     val (valid, expired) = idle.partition { now < it.until }
-    val chosen = valid.lastOrNull()
-    val remaining = persistentListOf<IdleConnection<C>>().addAll(valid.dropLast(1))
+    val chosen = valid.lastOrNull { isUsable(it.handle) }
+    val remaining = persistentListOf<IdleConnection<C>>().addAll(valid.filter { it !== chosen })
     return IdleChoice(chosen?.handle, persistentListOf<C>().addAll(expired.map { it.handle }), withIdle(address, remaining))
 }
 
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -13,9 +13,9 @@
 public data class EndpointAddress(public val host: String, public val port: Int)
 
 /**
- * A call to the endpoint at [address]. A response that carries a request ID must carry [requestId], unless that is `null`. The call
- * fails when no byte is received for [idleTimeout] while reading is enabled, or when the content is longer than [maxContentBytes],
- * unless that is `null`. A call that [requiresNewConnection] does not reuse an idle one.
+ * A call to the endpoint at [address]. Its response carries [requestId], unless that is `null`. The call fails when no byte is received
+ * for [idleTimeout] while reading is enabled, or when the content is longer than [maxContentBytes], unless that is `null`. A call that
+ * [requiresNewConnection] does not reuse an idle one.
  */
 public class EndpointCall(
     public val address: EndpointAddress,
--- a/programs/standin/src/main/kotlin/sniperoute/standin/engine/EngineServers.kt
+++ b/programs/standin/src/main/kotlin/sniperoute/standin/engine/EngineServers.kt
@@ -134,15 +134,20 @@
             Runtime.getRuntime().halt(KILLED_EXIT_STATUS)
         }
         when {
-            prompt == null -> exchange.reply(errorResponse(HttpStatus.BAD_REQUEST, "bad_request", "no prompt", "ran"))
+            prompt == null -> exchange.replyError(HttpStatus.BAD_REQUEST, "bad_request", "no prompt", "ran")
             expectedWeights != null && expectedWeights != servedWeights.get().text ->
-                exchange.reply(errorResponse(HttpStatus.CONFLICT, "wrong_weights", "this engine serves ${servedWeights.get()}", "not-run"))
+                exchange.replyError(HttpStatus.CONFLICT, "wrong_weights", "this engine serves ${servedWeights.get()}", "not-run")
             drawsFailure(switches) ->
-                exchange.reply(errorResponse(HttpStatus.INTERNAL_ERROR, "failure", "a fault switch failed this request", "ran"))
+                exchange.replyError(HttpStatus.INTERNAL_ERROR, "failure", "a fault switch failed this request", "ran")
             else -> submitJob(exchange, prompt.text, prompt.maxAnswerTokens, prompt.isStreamed)
         }
     }
 
+    private fun Exchange.replyError(status: Int, kind: String, message: String, outcome: String) {
+        val id = head.headers.filter { it.name == "x-request-id" }.toPersistentList()
+        reply(errorResponse(status, kind, message, outcome, id))
+    }
+
     private fun drawsFailure(switches: FaultSwitches): Boolean {
         val applies = switches.failingWeights.isEmpty() || switches.failingWeights == servedWeights.get().text
         return applies && ThreadLocalRandom.current().nextInt(SHARE_UNIT) < switches.failShare
