Keep a connection to an endpoint only if a read ended with its response

Callers would see: an earlier response as the answer to a call without a request ID that follows at once (a page of the platform's list), or a request that fails as crossed because the start of an extra response waited in the decoder.

Cause: the connection became idle as soon as its response was complete, while the decoder still held bytes of the same read. Where less than a head had been received, nothing told that there were bytes at all.

Change: a decoder that is asked to decode while no response is expected closes the connection, and a connection becomes idle at the end of the read that completed its response. The decoder and the encoder of Netty take the place of its codec, which allows no such look; the response to a HEAD request, which the codec knew, has its test.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
@@ -11,7 +11,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import sniperoute.connection.endpoint.decision.IdleConnections
 import sniperoute.connection.endpoint.decision.add
 import sniperoute.connection.endpoint.decision.choose
@@ -100,7 +100,9 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), EndpointConnection(address, this@ConnectionPool, requestIdHeader))
+                    val connection = EndpointConnection(address, this@ConnectionPool, requestIdHeader)
+                    val decoder = ResponseDecoder(connection::expectedResponse, connection::close)
+                    channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
                 }
             })
             .connect(address.host, address.port)
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -57,6 +57,9 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var served: ServedCall? = null
+
+    /** A call that was completed in the current read. The connection is idle only after it, in case more bytes were received. */
+    private var completed: ServedCall? = null
     private var carried = noCarriedCalls()
     private var idleTimer: ScheduledFuture<*>? = null
 
@@ -64,6 +67,14 @@
         this.context = context
     }
 
+    /** The response that the connection expects now. */
+    val expectedResponse: ExpectedResponse
+        get() = when (served?.call?.method) {
+            null -> ExpectedResponse.NONE
+            HttpMethod.HEAD.name() -> ExpectedResponse.HEAD_ONLY
+            else -> ExpectedResponse.WHOLE
+        }
+
     /** Whether a response to [call] can be told from those to earlier calls on this connection. */
     fun mayCarry(call: EndpointCall): Boolean = carried.mayCarry(call.requestId)
 
@@ -151,10 +162,16 @@
         idleTimer?.cancel(false)
         context.channel().config().isAutoRead = true
         val isReusable = current.isReusable && current.isRequestWritten
-        if (isReusable) pool.release(address, context.channel(), current.keepAliveTimeout) else context.close()
+        if (isReusable) completed = current else context.close()
         current.onEvent(CallCompleted)
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        completed?.let { pool.release(address, context.channel(), it.keepAliveTimeout) }
+        completed = null
+        context.fireChannelReadComplete()
+    }
+
     private fun fail(failure: CallFailure, reason: String) {
         val current = served ?: return
         served = null
@@ -163,7 +180,9 @@
         current.onEvent(CallFailed(failure, reason))
     }
 
-    private fun close() {
+    /** Closes the connection; it is not used again. */
+    fun close() {
+        completed = null
         idleTimer?.cancel(false)
         context.close()
     }
--- /dev/null
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/ResponseDecoders.kt
@@ -0,0 +1,27 @@
+/**
+ * The decoder of the responses of one connection to an endpoint. It decodes bytes only while a response is expected.
+ */
+package sniperoute.connection.endpoint
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/** The response that a connection expects. */
+internal enum class ExpectedResponse { NONE, HEAD_ONLY, WHOLE }
+
+/** Decodes the response that [expected] returns; [onSurplusBytes] is called when bytes are received while there is none. */
+internal class ResponseDecoder(
+    private val expected: () -> ExpectedResponse,
+    private val onSurplusBytes: () -> Unit,
+) : HttpResponseDecoder() {
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, decoded: MutableList<Any>) {
+        if (expected() != ExpectedResponse.NONE) return super.decode(context, buffer, decoded)
+        buffer.skipBytes(buffer.readableBytes())
+        onSurplusBytes()
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        expected() == ExpectedResponse.HEAD_ONLY || super.isContentAlwaysEmpty(message)
+}
--- a/connection/src/test/kotlin/sniperoute/connection/RepeatedResponsesTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/RepeatedResponsesTest.kt
@@ -22,6 +22,8 @@
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
+private const val LATER_MILLISECONDS = 100L
+
 class RepeatedResponsesTest {
     private val threads = startHttpThreads(1)
     private val connections = AtomicInteger()
@@ -34,28 +36,38 @@
         return "HTTP/1.1 $status x\r\n${header}content-length: ${content.length}\r\n\r\n$content"
     }
 
-    /** Starts a server that writes what [answer] returns for each connection and request, both counted from 1. */
-    private fun server(answer: (connection: Int, request: Int) -> String): EndpointAddress {
+    /**
+     * Starts a server that writes what [answer] returns for each connection and request, both counted from 1, and what [after] returns
+     * for the request a moment later.
+     */
+    private fun server(after: (request: Int) -> String = { "" }, answer: (connection: Int, request: Int) -> String): EndpointAddress {
         val listener = ServerSocket(0)
         thread(isDaemon = true) {
             while (true) {
                 val socket = listener.accept()
                 val connection = connections.incrementAndGet()
-                thread(isDaemon = true) { socket.serve { request -> answer(connection, request) } }
+                thread(isDaemon = true) { socket.serve(after) { request -> answer(connection, request) } }
             }
         }
         return EndpointAddress("127.0.0.1", listener.localPort)
     }
 
-    private fun Socket.serve(answer: (request: Int) -> String) = use {
+    private fun Socket.serve(after: (request: Int) -> String, answer: (request: Int) -> String) = use {
         val lines = getInputStream().bufferedReader()
         var requests = 0
         while (true) {
             val line = lines.readLine() ?: break
-            if (line.isEmpty()) getOutputStream().write(answer(++requests).toByteArray())
+            requests += if (line.isEmpty()) 1 else 0
+            if (line.isEmpty()) write(answer(requests), after(requests))
         }
     }
 
+    private fun Socket.write(atOnce: String, later: String) {
+        getOutputStream().write(atOnce.toByteArray())
+        if (later.isNotEmpty()) Thread.sleep(LATER_MILLISECONDS)
+        getOutputStream().write(later.toByteArray())
+    }
+
     private fun client(isIdRequired: Boolean = false) =
         endpointClient(threads, systemClock(), RequestIdHeader(isRequired = isIdRequired))
 
@@ -129,4 +141,42 @@
         client.run(address, "r1")
         expectThat(client.run(address, "r2").content()).isEqualTo("own")
     }
+
+    @Test
+    fun `a response in the same read as the answer before it is not taken for the answer to the call that follows at once`() {
+        val address = server { connection, _ -> response(200, null, "of $connection") + response(200, null, "extra") }
+        val client = client()
+        val second = LinkedBlockingQueue<CallEvent>()
+        client.call(EndpointCall(address, null, "GET", "/", idleTimeout = 5.seconds)) {
+            if (it is CallCompleted) client.start(address, null, second)
+        }
+        expectThat(second.awaitEnd().content()).isEqualTo("of 2")
+    }
+
+    @Test
+    fun `a response to a HEAD request has no content, and its connection is kept`() {
+        val address = server { connection, request -> response(200, "r$request", "of $connection").substringBefore("of") }
+        val client = client()
+        (1..2).forEach { number ->
+            val events = LinkedBlockingQueue<CallEvent>()
+            client.call(EndpointCall(address, "r$number", "HEAD", "/", idleTimeout = 5.seconds)) { events.put(it) }
+            expectThat(events.awaitEnd().last()).isA<CallCompleted>()
+        }
+        expectThat(connections.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `the start of a response after a complete one, in the same read or later, closes its connection`() {
+        val (start, rest) = response(200, null, "extra").let { it.take(20) to it.drop(20) }
+        listOf("" to start, start to "").forEach { (atOnce, later) ->
+            connections.set(0)
+            val address = server(after = { if (it == 1) later else "" }) { connection, request ->
+                if (request == 1) response(200, null, "of $connection") + atOnce else rest
+            }
+            val client = client()
+            expectThat(client.run(address, null).content()).isEqualTo("of 1")
+            Thread.sleep(2 * LATER_MILLISECONDS)
+            expectThat(client.run(address, null).content()).isEqualTo("of 2")
+        }
+    }
 }
