Pass on a status that promises "not run" only with the endpoint's statement

Callers saw: the 408, 429 or 503 of an endpoint that had not stated that it did not run the request. To callers each of them promises that the request has not run and never will, so they send it again.

Cause: only `Not-Executed` and 421 state that a request was not run, and routing keeps to it; but an error response without them went to the caller with its status when no other endpoint answered, or at once for 408 and 429.

Evidence, before the change: to a request that may run only once, an endpoint's 408, 429 and 503 with stamp and ID, but without the statement, came out as 408, 429 and 503 instead of 502.

Change: these are errors of the endpoint that are not forwarded: repeated where the request may be, counted against the endpoint and its release as before (408 and 429 now too), and answered with 502 otherwise. 500 and 504 are passed on as they were.

--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -28,8 +28,8 @@
  * @property deliveredBefore is [delivered] at the start of the current attempt.
  * @property lastId is the ID of the last of them.
  * @property isResumable is `true` while the last of them had an ID, or there are none.
- * @property head is that of the current attempt, as are [isStream], [isFault], [stream], [content] and [contentBytes].
- * @property isFault is `true` if the current response is an error of the endpoint.
+ * @property head is that of the current attempt, as are [isStream], [error], [stream], [content] and [contentBytes].
+ * @property error is the parsed head if the current response is an error of the endpoint, else `null`.
  * @property bytesWithoutContent are the bytes of the current attempt's stream since its last event with content.
  * @property isDone is `true` after the end of the response.
  * @property hasStarted is `true` once the head of a streamed response was sent to the caller.
@@ -41,7 +41,7 @@
     public val isResumable: Boolean,
     public val head: ResponseHead?,
     public val isStream: Boolean,
-    public val isFault: Boolean,
+    public val error: ErrorHead?,
     public val stream: EventStreamState,
     public val content: PersistentList<ByteArray>,
     public val contentBytes: Long,
@@ -60,7 +60,7 @@
     isResumable = true,
     head = null,
     isStream = false,
-    isFault = false,
+    error = null,
     stream = newEventStream(),
     content = persistentListOf(),
     contentBytes = 0,
@@ -73,7 +73,7 @@
 public fun Assembly.nextAttempt(): Assembly = copy(
     head = null,
     isStream = false,
-    isFault = false,
+    error = null,
     stream = newEventStream(),
     content = persistentListOf(),
     contentBytes = 0,
@@ -144,7 +144,7 @@
         if (delivered > 0) {
             fail(AttemptFailureKind.WRONG, "the endpoint did not resume the stream but responded with status ${received.status}")
         } else {
-            AssemblyStep(copy(head = received, isFault = parsed is ErrorHead))
+            AssemblyStep(copy(head = received, error = parsed as? ErrorHead))
         }
 }
 
@@ -216,7 +216,10 @@
 private fun Assembly.onBufferedEnd(): AssemblyStep {
     val received = head ?: return fail(AttemptFailureKind.WRONG, "the response has no head")
     val response = SendResponse(received, content.fold(ByteArray(0)) { all, part -> all + part })
-    if (isFault) return fail(AttemptFailureKind.FAULTED, "the endpoint responded with status ${received.status}", response)
+    if (error != null) {
+        val reason = "the endpoint responded with status ${received.status}"
+        return fail(AttemptFailureKind.FAULTED, reason, response.takeIf { error.mayForward })
+    }
     return when (val parsed = responseParser.parseBody(received, response.content)) {
         is InvalidBody -> fail(AttemptFailureKind.WRONG, parsed.reason)
         is ValidBody -> AssemblyStep(copy(isDone = true, usage = parsed.usage), persistentListOf(response))
--- a/request/src/main/kotlin/sniperoute/request/run/message/ResponseParsers.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/message/ResponseParsers.kt
@@ -19,8 +19,11 @@
 /** The head of a response that is buffered and sent to the caller as a whole. */
 public data object BufferedHead : ParsedHead
 
-/** The head of an error response of the endpoint. The caller gets it only if no other endpoint responds. */
-public data object ErrorHead : ParsedHead
+/**
+ * The head of an error response of the endpoint. The caller gets it only if no other endpoint responds, and not unless [mayForward]: its
+ * status may promise more than the endpoint states.
+ */
+public data class ErrorHead(public val mayForward: Boolean) : ParsedHead
 
 /**
  * The endpoint did not run the request. [isMisdirected] means that another endpoint has the address, or that the endpoint serves other
