--- a/process/src/main/kotlin/sniperoute/process/settings/LocatedValues.kt
+++ b/process/src/main/kotlin/sniperoute/process/settings/LocatedValues.kt
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
+import com.fasterxml.jackson.core.StreamReadConstraints
 import com.fasterxml.jackson.core.StreamReadFeature
 import com.fasterxml.jackson.core.json.JsonReadFeature
 import kotlinx.collections.immutable.PersistentList
@@ -19,6 +20,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import sniperoute.process.codec.MAX_JSON_DEPTH
 
 /** A JSON value and its position. */
 internal sealed interface LocatedValue {
@@ -44,6 +46,7 @@
     .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
     .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+    .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_JSON_DEPTH).build())
     .build()
 
 /** Returns the single JSON value in [text], or its first syntax error. */
--- a/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/AdministrationClients.kt
@@ -11,7 +11,7 @@
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
+import sniperoute.process.codec.decode
 import sniperoute.process.settings.ObjectReader
 import java.io.IOException
 import java.net.URI
@@ -99,11 +99,7 @@
     /** Returns the response of the server at [address] to a POST of [body] to [path], or to a GET when [body] is `null`. */
     public fun <T> call(address: ListenAddress, path: String, serializer: KSerializer<T>, body: String? = null): Either<CallError, T> =
         fetch(address, path, body).fold({ it.left() }) { text ->
-            try {
-                administrationJson.decodeFromString(serializer, text).right()
-            } catch (failure: SerializationException) {
-                ErrorResponse(0, "the response can't be decoded: ${failure.message}").left()
-            }
+            administrationJson.decode(serializer, text).mapLeft { ErrorResponse(0, "the response can't be decoded: ${it.reason}") }
         }
 
     private fun fetch(address: ListenAddress, path: String, body: String?): Either<CallError, String> {
@@ -144,10 +140,6 @@
 private data class ErrorPart(val message: String)
 
 private fun errorMessageIn(body: String): String =
-    try {
-        administrationJson.decodeFromString(ErrorBody.serializer(), body).error.message
-    } catch (_: SerializationException) {
-        body.take(MAX_SHOWN_CHARACTERS)
-    }
+    administrationJson.decode(ErrorBody.serializer(), body).fold({ body.take(MAX_SHOWN_CHARACTERS) }, { it.error.message })
 
 private const val MAX_SHOWN_CHARACTERS = 500
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -32,7 +32,7 @@
 import sniperoute.control.message.*
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Timestamp
-import sniperoute.process.codec.catchDecodingErrors
+import sniperoute.process.codec.decode
 import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.timeline.EventRecorder
 import sniperoute.version.codec.digest
@@ -198,7 +198,7 @@
     }
 
 private fun <T> decodeBody(serializer: KSerializer<T>, exchange: Exchange): Either<WholeResponse, T> =
-    catchDecodingErrors { administrationJson.decodeFromString(serializer, exchange.body.decodeToString()) }.mapLeft { malformed(it.reason) }
+    administrationJson.decode(serializer, exchange.body).mapLeft { malformed(it.reason) }
 
 private fun malformed(reason: String): WholeResponse = errorResponse(HttpStatus.BAD_REQUEST, "malformed_request", reason, NOT_RUN)
 
--- a/programs/control/src/main/kotlin/sniperoute/control/codec/WeightsCodecs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/codec/WeightsCodecs.kt
@@ -5,8 +5,8 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import sniperoute.process.codec.decode
 import sniperoute.version.message.WeightsVersion
 
 @Serializable
@@ -20,11 +20,11 @@
 
 /** Returns the weights that [body] names, or `null` when it isn't valid JSON or names none. */
 internal fun weightsOrNull(body: ByteArray): WeightsVersion? =
-    try {
-        json.decodeFromString(WeightsPage.serializer(), body.decodeToString()).weights?.let(::WeightsVersion)
-    } catch (_: SerializationException) {
-        null
-    }
+    json
+        .decode(WeightsPage.serializer(), body)
+        .getOrNull()
+        ?.weights
+        ?.let(::WeightsVersion)
 
 /** Returns the body of a command to load [weights] with the fencing token [fence]. */
 internal fun loadCommandBody(weights: WeightsVersion, fence: Long): ByteArray =
--- a/programs/publish/src/main/kotlin/sniperoute/publish/PublishPrograms.kt
+++ b/programs/publish/src/main/kotlin/sniperoute/publish/PublishPrograms.kt
@@ -19,6 +19,7 @@
 import sniperoute.control.message.InForceReply
 import sniperoute.control.message.SubmissionReply
 import sniperoute.control.message.SubmissionRequest
+import sniperoute.process.codec.decode
 import sniperoute.version.codec.digest
 import sniperoute.version.codec.emptyDeclarations
 import sniperoute.version.codec.readDeclarations
@@ -127,7 +128,7 @@
 
 /** Fails with the reason of a refusal: another submission took the number, or the declarations are invalid. */
 private fun failWithConflict(error: ErrorResponse): Nothing {
-    val reply = runCatching { administrationJson.decodeFromString(SubmissionReply.serializer(), error.body) }.getOrNull() ?: fail(error)
+    val reply = administrationJson.decode(SubmissionReply.serializer(), error.body).getOrNull() ?: fail(error)
     when (reply.outcome) {
         "lost" -> fail(
             "configuration ${reply.number} was taken by ${reply.winnerOperator ?: "an earlier submission"} " +
--- a/programs/router/src/main/kotlin/sniperoute/router/codec/EngineEvents.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/codec/EngineEvents.kt
@@ -6,8 +6,8 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import sniperoute.process.codec.decode
 
 /**
  * One event of an engine. [sequence] numbers its events without gaps. [stored] and [removed] are the cache blocks that its cache
@@ -36,16 +36,12 @@
 
 /** Returns the event that [text] encodes, or `null` when it is not a valid event. */
 public fun engineEventOrNull(text: String): EngineEvent? =
-    try {
-        json.decodeFromString(EngineEvent.serializer(), text)
-    } catch (_: SerializationException) {
-        null
-    }
+    json.decode(EngineEvent.serializer(), text).getOrNull()
 
 /** Returns the VMs in the platform's list that [text] encodes, or `null` when it is not a valid list. */
 public fun platformVmsOrNull(text: String): PersistentList<PlatformVm>? =
-    try {
-        json.decodeFromString(PlatformList.serializer(), text).vms.toPersistentList()
-    } catch (_: SerializationException) {
-        null
-    }
+    json
+        .decode(PlatformList.serializer(), text)
+        .getOrNull()
+        ?.vms
+        ?.toPersistentList()
--- a/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ShapeTest.kt
@@ -74,6 +74,12 @@
         }
     }
 
+    @Test
+    fun `what other programs wrote is decoded in one place, which bounds its nesting`() {
+        val unguarded = Regex("parseToJsonElement|decodeFromString|decodeFromByteArray|decodeFromStream")
+        expectThat(offenders({ "/process/codec/" !in it.path && !it.path.startsWith("programs/standin/") }, unguarded)).isEmpty()
+    }
+
     @Test
     fun `every import is used`() {
         val statement = Regex("^import ([\\w.]+)$", RegexOption.MULTILINE)
