--- a/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/HttpTest.kt
@@ -211,6 +211,14 @@
         expectThat(call(port).last()).isA<CallCompleted>()
     }
 
+    @Test
+    fun `a host name is looked up, and a call to an unknown one fails as not sent`() {
+        val port = server().port
+        val call = { host: String -> EndpointCall(EndpointAddress(host, port), "r1", "GET", "/", idleTimeout = 5.seconds) }
+        expectThat(events(call("localhost")).last()).isA<CallCompleted>()
+        expectThat(events(call("unknown.invalid")).last()).isA<CallFailed>().get { failure }.isEqualTo(CallFailure.NOT_SENT)
+    }
+
     @Test
     fun `a request that is accepted from a caller can be passed on, whatever bytes its target and headers have`() {
         val target = server().port
