End a request limit at a router that missed the notice of its end

A router that misses the one notice with which the leader ends a limit sends nothing to that endpoint any more: it has no permit, gets none, and so hears no answer without a limit. A service with one endpoint is refused by that router for as long as it runs. A VM that stands still for a moment is enough.

Cause: the same class, a state that changes by single messages over a lossy way, without expiry. The leader repeats limits in force, but tells only once that there are none.

Time without contact to a leader does not count, so a router that acts alone keeps its share.

The test failed before: 0 requests in the last second of four after the end of the limit.

--- a/programs/src/test/kotlin/sniperoute/programs/RequestLimitTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/RequestLimitTest.kt
@@ -56,6 +56,10 @@
     var limit: Double? = null
     var leader: Boolean = true
     val arrivals = mutableListOf<Timestamp>()
+
+    /** A router that receives no notice. */
+    var deafRouter: Int? = null
+    private val arrivalsByRouter = mutableListOf<Pair<Int, Timestamp>>()
     private val random = Random(seed)
     private val names = List(routerCount) { RouterName(VmName("r$it"), Incarnation(1)) }
     private val states = MutableList(routerCount) { newState() }
@@ -113,7 +117,10 @@
         }
         if (effect is Dispatch) {
             val isLimited = effect.endpoint.name == limited
-            if (isLimited) arrivals += now
+            if (isLimited) {
+                arrivals += now
+                arrivalsByRouter += router to now
+            }
             val named = NamedLimit(limit.takeIf { isLimited })
             later(ANSWER_TIME) {
                 input(router, ResponseHeadReceived(effect.id, ResponseLoadReport(limit = named)))
@@ -126,6 +133,8 @@
         pending += now + delay to action
     }
 
+    fun arrivalsFrom(router: Int, since: Timestamp): Int = arrivalsByRouter.count { (from, at) -> from == router && at >= since }
+
     fun advance() {
         now += TICK
         val due = pending.filter { it.first <= now }
@@ -134,12 +143,16 @@
         if (leader) {
             val step = limits.grant(names, now) { _, _ -> 1 }
             limits = step.limits
-            step.notices.forEach { (router, notice) -> later(MESSAGE_TIME) { input(names.indexOf(router), RequestLimitsReceived(notice)) } }
+            step.notices.forEach { (router, notice) -> sendNotice(names.indexOf(router), notice) }
             names.indices.forEach { index -> states[index] = states[index].copy(lastControlContact = now) }
         }
         states.indices.forEach { input(it, null) }
     }
 
+    private fun sendNotice(router: Int, notice: RequestLimitNotice) {
+        if (router != deafRouter) later(MESSAGE_TIME) { input(router, RequestLimitsReceived(notice)) }
+    }
+
     private companion object {
         val TICK = 10.milliseconds
         val MESSAGE_TIME = 20.milliseconds
@@ -235,4 +248,18 @@
         expectThat(granted[1]).isGreaterThan(granted[0])
         expectThat(granted.sorted()).isEqualTo(granted.toList())
     }
+
+    @Test
+    fun `a router that misses the notice that a limit ended sends requests there again`() {
+        val fleet = LimitedFleet(routerCount = 6, seed = 3)
+        val random = Random(3)
+        fleet.limit = 2.0
+        fleet.play(5.seconds, 150, random)
+        fleet.deafRouter = 0
+        fleet.limit = null
+        fleet.play(4.seconds, 150, random)
+        fleet.deafRouter = null
+        fleet.play(4.seconds, 150, random)
+        expectThat(fleet.arrivalsFrom(0, since = fleet.now - 1.seconds)).isGreaterThan(0)
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
@@ -22,6 +22,12 @@
 /** A permit that is not used for this long expires, so that few of them are used at once. */
 private val PERMIT_LIFETIME: Duration = 1.seconds
 
+/**
+ * A limit that neither an answer nor the leader has named for this long has ended, since the notice of its end may be lost. The leader
+ * repeats the limits in force several times in it.
+ */
+private val CONFIRMATION_LIFETIME: Duration = 4.seconds
+
 /** A limit that an endpoint named or ended to this router is not changed by the leader's notices for this long, since they lag behind. */
 private val NOTICE_LAG: Duration = 500.milliseconds
 
@@ -31,6 +37,7 @@
  * @property permits are the times at which unused permits expire, the earliest first.
  * @property namedAt is when the endpoint last named the limit to this router, if it did.
  * @property accrued is the part of a permit that the router has given itself while it acts alone, up to [accruedTo].
+ * @property confirmedAt is when an answer or the leader last named the limit; time without contact to the control replicas does not count.
  */
 public data class RouterRequestLimit(
     public val perSecond: Double,
@@ -38,6 +45,7 @@
     public val namedAt: Timestamp = Timestamp.EARLIEST,
     public val accrued: Double = 0.0,
     public val accruedTo: Timestamp = Timestamp.EARLIEST,
+    public val confirmedAt: Timestamp = Timestamp.EARLIEST,
 )
 
 /** Whether a request may be sent to the endpoint at [now], as far as its limit is concerned. */
@@ -55,7 +63,7 @@
 internal fun EndpointState.withNamedLimit(named: NamedLimit, now: Timestamp): EndpointState {
     val perSecond = named.perSecond ?: return copy(limit = null)
     val known = limit ?: RouterRequestLimit(perSecond)
-    return copy(limit = known.copy(perSecond = perSecond, namedAt = now))
+    return copy(limit = known.copy(perSecond = perSecond, namedAt = now, confirmedAt = now))
 }
 
 /** Returns the state after the leader sent [notice]. */
@@ -71,7 +79,7 @@
 
 private fun EndpointState.withNotice(isComplete: Boolean, perSecond: Double?, now: Timestamp): EndpointState = when {
     limit != null && now - limit.namedAt < NOTICE_LAG -> this
-    perSecond != null -> copy(limit = limit?.copy(perSecond = perSecond) ?: RouterRequestLimit(perSecond))
+    perSecond != null -> copy(limit = (limit ?: RouterRequestLimit(perSecond)).copy(perSecond = perSecond, confirmedAt = now))
     else -> if (isComplete) copy(limit = null) else this
 }
 
@@ -80,16 +88,25 @@
     return copy(limit = limit.copy(permits = (kept + List(count) { now + PERMIT_LIFETIME }).toPersistentList()))
 }
 
-/** Returns the state after this router gave itself its share of the permits for the time since the last tick, if it acts alone. */
-internal fun RoutingState.accruePermitsAlone(now: Timestamp): RoutingState {
+/**
+ * Returns the state at a tick: without the limits that have ended, and with this router's share of the permits for the time since the last
+ * tick, if it acts alone.
+ */
+internal fun RoutingState.updateLimits(now: Timestamp): RoutingState {
     val limited = endpoints.values.filter { it.limit != null }
     if (limited.isEmpty()) return this
     val isAlone = isWithoutControl(now)
     return limited.fold(this) { state, endpoint ->
-        state.withEndpoint(endpoint.endpoint.name) { it.copy(limit = it.limit?.accrue(isAlone, routers, now)) }
+        state.withEndpoint(endpoint.endpoint.name) { it.copy(limit = it.limit?.confirmed(isAlone, now)?.accrue(isAlone, routers, now)) }
     }
 }
 
+private fun RouterRequestLimit.confirmed(isAlone: Boolean, now: Timestamp): RouterRequestLimit? = when {
+    isAlone -> copy(confirmedAt = now)
+    now - confirmedAt > CONFIRMATION_LIFETIME -> null
+    else -> this
+}
+
 private fun RouterRequestLimit.accrue(isAlone: Boolean, routers: Int, now: Timestamp): RouterRequestLimit {
     if (!isAlone) return copy(accrued = 0.0, accruedTo = now)
     val seconds = if (accruedTo == Timestamp.EARLIEST) 0.0 else (now - accruedTo).toDouble(DurationUnit.SECONDS)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -59,7 +59,7 @@
         unchanged()
     }
     return checked
-        .then { it.accrueAlone(now).accruePermitsAlone(now).unchanged() }
+        .then { it.accrueAlone(now).updateLimits(now).unchanged() }
         .then { it.drainAll(policy, now) }
         .then { it.reportWorkload(now) }
         .then { it.reportLimits(now) }
