Keep a service reachable when all of its endpoints fell silent

A router sends an endpoint nothing for ten seconds after one silent connection. A sound endpoint may fall silent for a second and go on; when all endpoints of a small service do, the router refuses everything for ten seconds.

Cause: the ejection of single endpoints had no bound for the service as a whole.

Why this fix works: endpoints that fell silent get requests again while their service has no other, one at a time from each router, so that a router notices soon that they respond, and loses few requests if they do not.

The test failed before: no request was sent a second after both endpoints had fallen silent; now one to each.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -115,7 +115,8 @@
 
 /**
  * Returns the endpoints that may get a request now, whether or not they have free slots. An endpoint never gets two suspects at once,
- * so that a crash can be charged to one request. Endpoints at which the request failed are left out while there are others.
+ * so that a crash can be charged to one request. Endpoints at which the request failed are left out while there are others. Endpoints that
+ * fell silent get requests only while there are no others: a sound one may pause, and all of a service may do so.
  */
 internal fun RoutingState.candidates(
     service: Service,
@@ -125,9 +126,12 @@
 ): List<EndpointState> {
     val isSuspect = request.digest in suspects
     val names = if (service.isListed) members[service.name].orEmpty() else service.endpoints.map { it.name }
-    val usable = names
+    val serving = names
         .mapNotNull { endpoints[it] }
-        .filter { it.servesNow(service, version, this) && it.isUsable(now) && it.isPermitted(now) && !isOutdated(it, request, now) }
+        .filter { it.servesNow(service, version, this) && it.isPermitted(now) && !isOutdated(it, request, now) }
+    val usable = serving
+        .filter { it.isUsable(now) }
+        .ifEmpty { serving.filter { it.isProbed(now) } }
         .filter { !isSuspect || it.ownRequests.values.none(OwnRequest::isSuspect) }
     val failedAt = retries[request.id]?.failedAt ?: return usable
     return usable.filter { it.endpoint.name !in failedAt }.ifEmpty { usable }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -56,7 +56,8 @@
  *
  * @property incarnation as the endpoint or the platform's list reported it; `null` if unknown.
  * @property weights as the endpoint reported them; `null` if unknown. Endpoints that the platform lists have [modelWeights] instead.
- * @property ejectedUntil is the time until which the endpoint gets no requests after a failure, a rejection or silence.
+ * @property ejectedUntil is the time until which the endpoint gets no requests after a failure or a rejection.
+ * @property silentUntil is the time until which the endpoint gets no requests after silence while its service has others.
  * @property failures counts failed calls; a first token or a new incarnation resets it.
  * @property brokenRequests are those of the last [CRASH_WINDOW].
  * @property timePerToken is a moving average of the time to compute one prompt token.
@@ -75,6 +76,7 @@
     public val weights: WeightsVersion? = null,
     public val isLeaving: Boolean = false,
     public val ejectedUntil: Timestamp = Timestamp.EARLIEST,
+    public val silentUntil: Timestamp = Timestamp.EARLIEST,
     public val failures: Int = 0,
     public val ownRequests: PersistentMap<RequestId, OwnRequest> = persistentMapOf(),
     public val report: LoadReport? = null,
@@ -111,7 +113,15 @@
 private const val TIME_SAMPLE_WEIGHT = 0.1
 
 /** Whether the endpoint may get requests at [now], apart from free slots. */
-public fun EndpointState.isUsable(now: Timestamp): Boolean = !isLeaving && !isChanging && now >= ejectedUntil
+public fun EndpointState.isUsable(now: Timestamp): Boolean = isAvailable(now) && now >= silentUntil
+
+/**
+ * Whether the endpoint may get a request at [now] although it fell silent. One at a time is enough to notice that it responds again, and
+ * few are lost if it does not.
+ */
+internal fun EndpointState.isProbed(now: Timestamp): Boolean = isAvailable(now) && ownRequests.isEmpty()
+
+private fun EndpointState.isAvailable(now: Timestamp): Boolean = !isLeaving && !isChanging && now >= ejectedUntil
 
 /** Returns the free slots: all slots without this router's requests and without those that other routers had at the last report. */
 public fun EndpointState.freeSlots(now: Timestamp): Int = endpoint.slots - ownRequests.size - othersRunning(now)
@@ -189,12 +199,18 @@
 public fun EndpointState.afterCrash(now: Timestamp): EndpointState = copy(crashedAt = now, brokenRequests = brokenRequests.clear())
 
 /** Returns the endpoint after a connection to it went silent at [now]. It stays ejected even if its event stream goes on. */
-public fun EndpointState.afterSilence(now: Timestamp): EndpointState = copy(failures = failures + 1, ejectedUntil = now + SILENCE_EJECTION)
+public fun EndpointState.afterSilence(now: Timestamp): EndpointState = copy(failures = failures + 1, silentUntil = now + SILENCE_EJECTION)
 
 private val SILENCE_EJECTION = 10.seconds
 
 /** Returns the endpoint after it reported [newIncarnation] and [newWeights]. Only a new incarnation ends its ejection. */
 public fun EndpointState.withIdentity(newIncarnation: String, newWeights: WeightsVersion?): EndpointState {
     val identified = copy(incarnation = newIncarnation, weights = newWeights)
-    return if (newIncarnation == incarnation) identified else identified.copy(ejectedUntil = Timestamp.EARLIEST, failures = 0)
+    return if (newIncarnation ==
+        incarnation
+    ) {
+        identified
+    } else {
+        identified.copy(ejectedUntil = Timestamp.EARLIEST, silentUntil = Timestamp.EARLIEST, failures = 0)
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -94,7 +94,7 @@
     val usable = known.filter { it.isUsable(now) && !isOutdated(it, request, now) }
     val shortest = usable.minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
     val changing = known.count { it.isChanging }
-    val ejected = known.count { now < it.ejectedUntil }
+    val ejected = known.count { now < maxOf(it.ejectedUntil, it.silentUntil) }
     val limited = known.count { !it.isPermitted(now) }
     val own = known.sumOf { it.ownRequests.size }
     val others = known.sumOf { it.othersRunning(now) }
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -298,4 +298,24 @@
         expectThat(router.send("1")).isNull()
         expectThat(router.state.endpoints).isEmpty()
     }
+
+    @Test
+    fun `a service whose endpoints all fell silent gets a request at a time at each, not none for seconds`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a"), fleetEndpoint("b")))
+        val once = review.copy(repetition = Repetition.ONCE_ONLY)
+        val first = List(8) { "$it" }.mapNotNull { id -> router.send(id, session = id.toLong(), route = once) }
+        expectThat(first.map { it.endpoint.name.text }.toSet()).isEqualTo(setOf("a", "b"))
+        while (router.state.running.isNotEmpty()) {
+            router.end(
+                router.state.running.keys
+                    .first()
+                    .text,
+                AttemptFailureKind.SILENT,
+            )
+        }
+        router.wait(1_000)
+        val sent = List(4) { router.send("later$it", session = it.toLong(), route = once) }.mapNotNull { it?.endpoint?.name?.text }
+        expectThat(sent.sorted()).isEqualTo(listOf("a", "b"))
+    }
 }
