--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -21,7 +21,7 @@
 /** How often a router reports its workload at all endpoints, since reports of changes may be lost. */
 private val COMPLETE_REPORT_INTERVAL: Duration = 1.seconds
 
-/** Returns the state after a report of the changes since the last report, or a complete one, if there is anything to report and it is due. */
+/** Returns the state after a report, if one is due: of all endpoints with requests, or of the changes since the last report, if any. */
 internal fun RoutingState.reportWorkload(now: Timestamp): RoutingStep {
     if (now < nextWorkloadReport) return unchanged()
     val isComplete = now >= nextCompleteReport
