--- a/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
@@ -18,7 +18,7 @@
         context.fireChannelRead(DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()))
     }
 
-    /** Returns no response that would stand in or before those to earlier requests: only an interim one, to a request that is not too long. */
+    /** Returns an interim response only where no other one is due before it, and to a request that is not too long. */
     override fun newContinueResponse(start: HttpMessage, maxContentLength: Int, pipeline: ChannelPipeline): Any? {
         val isInterim = !isResponding() && HttpUtil.is100ContinueExpected(start) && !isContentLengthInvalid(start, maxContentLength)
         return if (isInterim) super.newContinueResponse(start, maxContentLength, pipeline) else null
