Wait for room in the routing ring with what ends a request

Cause: connections offered every input to the routing duty, and a full ring dropped it. Without the end of an attempt or a cancellation, the router counts the request as in flight at its endpoint for as long as it lives, and reports it so to the leader.

Change: only a new request is refused when the ring is full. Whatever else happens to a request waits for room. The routing duty never waits for connections, so it always makes room.

--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -177,7 +177,7 @@
     private val requests = metrics.counter("sniperoute_requests", "Requests that ended.", "route", "outcome")
     private val firstTokens = metrics.secondsHistogram("sniperoute_first_token_seconds", "Time to the first token.", "route")
     private val dependencies = RequestRunDependencies(
-        sendToRouting = routingRing::offer,
+        sendToRouting = routingRing::send,
         call = client::call,
         requestLedger = session::requestLedger,
         record = recorder::record,
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -60,6 +60,16 @@
     step.state
 }
 
+/**
+ * Sends [input] to the routing duty and returns whether it will arrive. A new request that finds the ring full is refused. Whatever else
+ * happens to a request waits for room: routing would count the request as in flight for good without it.
+ */
+public fun Ring<RoutingInput>.send(input: RoutingInput): Boolean {
+    if (input is RequestAdmitted) return offer(input)
+    put(input)
+    return true
+}
+
 /** Returns the evidence about services that are being moved; that about the others isn't reported, to keep renewals small. */
 private fun RoutingState.evidenceOfMoves(): EvidenceTable {
     val moving = view.catalogue.moves.values
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -36,7 +36,7 @@
 import sniperoute.version.message.Repetition
 import kotlin.time.Duration
 
-/** Sends [input] to the routing duty; returns `false` if its ring is full. */
+/** Sends [input] to the routing duty; returns `false` if it is a new request and the duty's ring is full. */
 public typealias SendToRouting = (input: RoutingInput) -> Boolean
 
 /** Sends [request] to the ledger and calls [onReply] once. With [retryUntilAnswered], the request is retried until there is a reply. */
