--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -39,7 +39,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Sends [input] to the routing duty; returns `false` if its ring is full. */
+/** Sends [input] to the routing duty; returns `false` if it is a new request and the duty's ring is full. */
 public typealias SendToRouting = (input: RoutingInput) -> Boolean
 
 /** Sends [request] to the ledger and calls [onReply] once. With [retryUntilAnswered], the request is retried until there is a reply. */
