--- a/connection/src/test/kotlin/sniperoute/connection/EndpointClientsTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/EndpointClientsTest.kt
@@ -4,18 +4,10 @@
  */
 package sniperoute.connection
 
-import io.kotest.property.Arb
-import io.kotest.property.arbitrary.int
-import io.kotest.property.arbitrary.list
-import io.kotest.property.checkAll
-import io.netty.pkitesting.CertificateBuilder
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
-import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.assertTimeoutPreemptively
-import org.junit.jupiter.api.io.TempDir
 import sniperoute.connection.endpoint.decision.*
 import sniperoute.connection.endpoint.endpointClient
 import sniperoute.connection.endpoint.message.*
@@ -23,36 +15,21 @@
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.clock.systemClock
 import strikt.api.expectThat
-import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
-import strikt.assertions.isFalse
-import strikt.assertions.isGreaterThan
-import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
-import strikt.assertions.isTrue
 import strikt.assertions.startsWith
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.ServerSocket
-import java.net.Socket
-import java.net.SocketException
-import java.nio.charset.Charset
-import java.nio.file.Files
-import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicReference
-import javax.net.ssl.SSLContext
 import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.toJavaDuration
 
 class EndpointClientsTest {
     private val threads = startHttpThreads(1)
