--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -42,8 +42,9 @@
 import java.util.concurrent.atomic.LongAdder
 
 /**
- * The open links. A message that finds its ring full is dropped, since both protocols retransmit what matters. Agreement messages are
- * sent over the link that this replica dialed or, without one, over the link that the other replica dialed.
+ * The open links. A message that finds its ring full is dropped: agreement messages and ledger requests are sent again, and what routers
+ * report is reported whole at intervals. Agreement messages are sent over the link that this replica dialed or, without one, over the link
+ * that the other replica dialed.
  */
 internal class ControlLinks(
     dial: DialVm,
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -45,7 +45,7 @@
     public val membership: Membership,
     public val redundancy: Redundancy,
     public val maximumElectionTimeout: Duration,
-    public val firstIndex: Long = 0,
+    public val firstIndex: Long,
 )
 
 /** A proposal that isn't committed yet, by who is to get its result. */
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -44,8 +44,8 @@
 ) : SessionInput
 
 /**
- * The routing duty sends [message] to the leader: a token request, a token return or a workload report. It isn't retransmitted: it
- * needs no reply, or the routing duty sends it again.
+ * The routing duty sends [message] to the leader: a token request, a token return or a workload report. It may be
+ * lost: the routing duty repeats a token request, and its whole workload at intervals.
  */
 public data class RoutingMessageSent(public val message: SessionMessage) : SessionInput
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -4,11 +4,13 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.routing.message.FleetWorkloadReceived
 import sniperoute.request.routing.message.ReportWorkload
+import sniperoute.version.message.EndpointName
 import sniperoute.version.message.EndpointWorkload
 import sniperoute.version.message.WorkloadReport
 import kotlin.time.Duration
@@ -21,26 +23,37 @@
 /** How often a router reports its workload at all endpoints, since reports of changes may be lost. */
 private val COMPLETE_REPORT_INTERVAL: Duration = 1.seconds
 
-/** Returns the state after a report, if one is due: of all endpoints with requests, or of the changes since the last report, if any. */
-internal fun RoutingState.reportWorkload(now: Timestamp): RoutingStep {
-    if (now < nextWorkloadReport) return unchanged()
-    val isComplete = now >= nextCompleteReport
-    val workloads = endpoints.values.map { it.workload() }
-    val reported = workloads.filter {
-        if (isComplete) it.running > 0 else it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0))
-    }
-    if (!isComplete && reported.isEmpty() && newlyCached.isEmpty()) return unchanged()
-    val next = copy(
-        reportedWorkloads = reported.fold(if (isComplete) reportedWorkloads.clear() else reportedWorkloads) { all, workload ->
-            all.put(workload.endpoint, workload)
-        },
-        newlyCached = persistentListOf(),
-        nextWorkloadReport = now + REPORT_INTERVAL,
-        nextCompleteReport = if (isComplete) now + COMPLETE_REPORT_INTERVAL else nextCompleteReport,
-    )
-    return next.unchanged().emit(ReportWorkload(WorkloadReport(reported.toPersistentList(), newlyCached, isComplete)))
+/** Returns the state after a report, if one is due. */
+internal fun RoutingState.reportWorkload(now: Timestamp): RoutingStep = when {
+    now < nextWorkloadReport -> unchanged()
+    now < nextCompleteReport -> reportChangedWorkload(now)
+    else -> reportWholeWorkload(now)
+}
+
+private fun RoutingState.reportChangedWorkload(now: Timestamp): RoutingStep {
+    val changed = endpoints.values
+        .map { it.workload() }
+        .filter { it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0)) }
+    if (changed.isEmpty() && newlyCached.isEmpty()) return unchanged()
+    return report(WorkloadReport(changed.toPersistentList(), newlyCached), reportedWorkloads, now)
 }
 
+private fun RoutingState.reportWholeWorkload(now: Timestamp): RoutingStep {
+    val whole = endpoints.values.map { it.workload() }.filter { it.running > 0 }
+    return copy(nextCompleteReport = now + COMPLETE_REPORT_INTERVAL)
+        .report(WorkloadReport(whole.toPersistentList(), newlyCached, isComplete = true), reportedWorkloads.clear(), now)
+}
+
+private fun RoutingState.report(
+    report: WorkloadReport,
+    before: PersistentMap<EndpointName, EndpointWorkload>,
+    now: Timestamp,
+): RoutingStep = copy(
+    reportedWorkloads = report.work.fold(before) { all, workload -> all.put(workload.endpoint, workload) },
+    newlyCached = persistentListOf(),
+    nextWorkloadReport = now + REPORT_INTERVAL,
+).unchanged().emit(ReportWorkload(report))
+
 private fun EndpointState.workload(): EndpointWorkload = EndpointWorkload(endpoint.name, ownRequests.size, ownWaitingTokens())
 
 /** Returns the state after the leader sent the workload of all routers, which includes what this router reported last. */
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -36,7 +36,10 @@
 /** Returns the state of a leader that has received no report yet. */
 public fun noFleetWorkloads(): FleetWorkloads = FleetWorkloads(persistentMapOf(), persistentSetOf(), persistentListOf(), Timestamp.EARLIEST)
 
-/** Returns the state with the [report] of [router] applied. A complete one corrects what lost reports have left behind. */
+/**
+ * Returns the state with the [report] of [router] applied. A complete one corrects what lost reports have left behind; of its endpoints, only
+ * those that it changes are sent on.
+ */
 public fun FleetWorkloads.recordReport(router: RouterName, report: WorkloadReport): FleetWorkloads {
     val before = byRouter[router] ?: persistentMapOf()
     val workloads = report.work.fold(if (report.isComplete) before.clear() else before) { all, workload ->
