--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -37,8 +37,8 @@
 public fun noFleetWorkloads(): FleetWorkloads = FleetWorkloads(persistentMapOf(), persistentSetOf(), persistentListOf(), Timestamp.EARLIEST)
 
 /**
- * Returns the state with the [report] of [router] applied. A complete one corrects what lost reports have left behind; of its endpoints, only
- * those that it changes are sent on.
+ * Returns the state with the [report] of [router] applied. A complete one corrects what lost reports have left behind; of its
+ * endpoints, only those that it changes are sent on.
  */
 public fun FleetWorkloads.recordReport(router: RouterName, report: WorkloadReport): FleetWorkloads {
     val before = byRouter[router] ?: persistentMapOf()
