Take the numbers of settings and configurations in every form that the platform allows

A router withholds its share of the retry budget's extra for one window after its start, since an earlier process on its VM may have spent it (RetryBudgetsTest with restarts was red for that).

--- a/process/src/main/kotlin/sniperoute/process/settings/ObjectReaders.kt
+++ b/process/src/main/kotlin/sniperoute/process/settings/ObjectReaders.kt
@@ -18,6 +18,8 @@
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+import kotlin.time.toDuration
 
 /** The errors found so far in a file. */
 internal class ErrorCollector {
@@ -71,16 +73,21 @@
         return fallback
     }
 
-    /** Returns the number [name], which must be in [range]. */
-    public fun double(name: String, range: ClosedFloatingPointRange<Double>): Double {
+    /** Returns the number [name], which must be in [range] and may be a fraction; [default] makes it optional. */
+    public fun double(name: String, range: ClosedFloatingPointRange<Double>, default: Double? = null): Double {
         val expected = "a number from ${range.start} to ${range.endInclusive}"
-        val value = member(name, expected, optional = false) ?: return range.start
+        val fallback = default ?: range.start
+        val value = member(name, expected, default != null) ?: return fallback
         val number = (value as? LocatedNumber)?.text?.toDoubleOrNull()
         if (number != null && number in range) return number
         collector.add(value.position, "\"$name\" is ${value.describe()}", expected)
-        return range.start
+        return fallback
     }
 
+    /** Returns the number [name] of [unit], which may be a fraction, as a duration; [default] makes it optional. */
+    public fun duration(name: String, unit: DurationUnit, range: ClosedFloatingPointRange<Double>, default: Duration? = null): Duration =
+        double(name, range, default?.toDouble(unit)).toDuration(unit)
+
     /** Returns the integer number of milliseconds [name] as a duration; [default] makes it optional. */
     public fun milliseconds(name: String, range: LongRange, default: Duration? = null): Duration =
         long(name, range, default?.inWholeMilliseconds).milliseconds
--- a/programs/src/test/kotlin/sniperoute/programs/BlockQuarantineTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/BlockQuarantineTest.kt
@@ -78,7 +78,7 @@
     var served = 0
     var refused = 0
     private val random = Random(seed)
-    private val routers = MutableList(3) { newRoutingState(listedStart, RoutingSettings(RetryAllowance(0.2, 50))) }
+    private val routers = MutableList(3) { newRoutingState(listedStart - 60.seconds, RoutingSettings(RetryAllowance(0.2, 50.0))) }
     private val flights = mutableListOf<Flight>()
     private val incarnations = MutableList(endpointCount) { 1 }
     private val downUntil = MutableList(endpointCount) { listedStart }
@@ -115,7 +115,7 @@
 
     fun restartRouter(router: Int) {
         flights.removeAll { it.router == router }
-        routers[router] = newRoutingState(now, RoutingSettings(RetryAllowance(0.2, 50)))
+        routers[router] = newRoutingState(now, RoutingSettings(RetryAllowance(0.2, 50.0)))
         publish()
         sendFleet()
     }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RetryBudgets.kt
@@ -11,10 +11,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** In any [window], all routers together may send [ratio] times as many retries as requests, and [extra] more. */
+/** In any [window], all routers together may send [ratio] times as many retries as requests, and [extra] more; either may be a fraction. */
 public data class RetryAllowance(
     public val ratio: Double = 0.1,
-    public val extra: Int = 20,
+    public val extra: Double = 20.0,
     public val window: Duration = 10.seconds,
 )
 
@@ -26,22 +26,25 @@
 /** Counts of requests and retries in the slice of a window that begins at [start]. */
 public data class RetryWindowSlice(public val start: Timestamp, public val requests: Int, public val retries: Int)
 
-/** What this router sent in the last window, the oldest slice first. */
-public data class RetryBudget(public val slices: PersistentList<RetryWindowSlice>)
+/**
+ * What this router sent in the last window, the oldest slice first. The router started at [started]. An earlier process on its VM may
+ * have spent the router's share of the extra just before, so that share is withheld until a window has passed.
+ */
+public data class RetryBudget(public val started: Timestamp, public val slices: PersistentList<RetryWindowSlice>)
 
-/** Returns a budget of which nothing is spent. */
-public fun unspentRetryBudget(): RetryBudget = RetryBudget(persistentListOf())
+/** Returns the budget of a router that started at [started]. */
+public fun newRetryBudget(started: Timestamp): RetryBudget = RetryBudget(started, persistentListOf())
 
 /** A slice counts until its end has left the window: retries at the end of a slice must not be spent twice within one window. */
 private fun RetryBudget.at(now: Timestamp, allowance: RetryAllowance): RetryBudget {
     val sliceLength = allowance.window / SLICES_PER_WINDOW
     val kept = slices.filter { now - it.start < allowance.window + sliceLength }
     val isCurrent = kept.isNotEmpty() && now - kept.last().start < sliceLength
-    return RetryBudget((if (isCurrent) kept else kept + RetryWindowSlice(now, 0, 0)).toPersistentList())
+    return copy(slices = (if (isCurrent) kept else kept + RetryWindowSlice(now, 0, 0)).toPersistentList())
 }
 
 private fun RetryBudget.withLast(change: (RetryWindowSlice) -> RetryWindowSlice): RetryBudget =
-    RetryBudget(slices.set(slices.lastIndex, change(slices.last())))
+    copy(slices = slices.set(slices.lastIndex, change(slices.last())))
 
 /** Returns the budget after a request arrived at [now]. */
 public fun RetryBudget.recordRequest(now: Timestamp, allowance: RetryAllowance): RetryBudget =
@@ -52,6 +55,7 @@
     val current = at(now, allowance)
     val requests = current.slices.sumOf { it.requests }
     val retries = current.slices.sumOf { it.retries }
-    val limit = (requests * allowance.ratio + allowance.extra.toDouble() / routers.coerceAtLeast(1)) * USED_SHARE
+    val extra = if (now - started > allowance.window) allowance.extra / routers.coerceAtLeast(1) else 0.0
+    val limit = (requests * allowance.ratio + extra) * USED_SHARE
     return if (retries + 1 > limit) null else current.withLast { it.copy(retries = it.retries + 1) }
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -68,6 +68,7 @@
  * @property retries are the requests that had a failed attempt and are in a queue or in flight.
  * @property suspects are the digests of requests that may have crashed an endpoint, with the time of the crash.
  * @property placementCount is the number of placements so far, for round-robin.
+ * @property started is when this router started.
  * @property routers is the number of routers that share the fleet's allowances.
  * @property members are the endpoints of each service.
  * @property targetWeights are the latest target weights of each model, the newest last.
@@ -88,6 +89,7 @@
     public val evidence: EvidenceTable,
     public val placementCount: Long,
     public val lastDeadlineCheck: Timestamp,
+    public val started: Timestamp,
     public val settings: RoutingSettings = RoutingSettings(),
     public val routers: Int = 1,
     public val fleet: FleetView = emptyFleetView(),
@@ -141,6 +143,7 @@
     evidence = noEvidenceTable(),
     placementCount = 0,
     lastDeadlineCheck = now,
+    started = now,
     settings = settings,
 )
 
--- a/request/src/test/kotlin/sniperoute/request/RetryBudgetsTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RetryBudgetsTest.kt
@@ -15,9 +15,9 @@
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.routing.decision.RetryAllowance
 import sniperoute.request.routing.decision.RetryBudget
+import sniperoute.request.routing.decision.newRetryBudget
 import sniperoute.request.routing.decision.recordRequest
 import sniperoute.request.routing.decision.spendOrNull
-import sniperoute.request.routing.decision.unspentRetryBudget
 import strikt.api.expectThat
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -26,9 +26,9 @@
 
 @OptIn(ExperimentalKotest::class)
 class RetryBudgetsTest {
-    private val allowance = RetryAllowance(ratio = 0.2, extra = 56, window = 10.seconds)
+    private val allowance = RetryAllowance(ratio = 0.2, extra = 56.0, window = 10.seconds)
 
-    private class Router(var budget: RetryBudget?, var idleUntil: Timestamp)
+    private class Router(var budget: RetryBudget, var idleUntil: Timestamp)
 
     @Test
     fun `repeats of all routers stay within the budget in every window while routers freeze`() = check(restarts = false)
@@ -41,7 +41,7 @@
             checkAll(PropTestConfig(seed = 5, iterations = 60), Arb.long(), Arb.int(1..12)) { seed, count ->
                 val random = Random(seed)
                 var now = Timestamp(60_000_000)
-                val routers = List(count) { Router(null, now) }
+                val routers = List(count) { Router(newRetryBudget(now), now) }
                 val requests = mutableListOf<Timestamp>()
                 val retries = mutableListOf<Timestamp>()
                 repeat(2_000) {
@@ -64,7 +64,7 @@
     }
 
     private fun Router.restart(until: Timestamp) {
-        budget = null
+        budget = newRetryBudget(until)
         idleUntil = until
     }
 
@@ -72,7 +72,7 @@
     private fun Router.serve(now: Timestamp, routers: Int, requests: MutableList<Timestamp>, retries: MutableList<Timestamp>) {
         if (now < idleUntil) return
         requests += now
-        var current = (budget ?: unspentRetryBudget()).recordRequest(now, allowance)
+        var current = budget.recordRequest(now, allowance)
         repeat(4) {
             val spent = current.spendOrNull(now, allowance, routers) ?: return@repeat
             current = spent
--- a/request/src/test/kotlin/sniperoute/request/Samples.kt
+++ b/request/src/test/kotlin/sniperoute/request/Samples.kt
@@ -71,7 +71,7 @@
     private val grantsTokens: Boolean = true,
 ) {
     var now = start
-    var state = newRoutingState(start)
+    var state = newRoutingState(start - 60.seconds)
     val effects = mutableListOf<RoutingEffect>()
 
     init {
