Count progress in events, and refuse at a stop what can't end before the process does

Two faults, which share the run of a request. Callers saw stalled streams that never went on: each byte restarted the timeouts of a call, so that a byte now and then, or a comment, hid that no event came. Now the run reports progress, an event of a stream or a byte of a buffered response, and only that restarts the timeouts. SilentEndpointTest: on the code before, the stream stays at its first endpoint while bytes trickle. In a planned stop, requests were taken for a fixed 2.3 s whatever the time they last, and cut without an answer at the end. What is still in progress at the end is answered as "may have run", or as refused if it was never sent.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
@@ -168,6 +168,8 @@
         connection?.setReading(isEnabled, call)
     }
 
+    override fun recordProgress() = onLoop { connection?.recordProgress(call) }
+
     private fun onLoop(action: () -> Unit) {
         if (loop.inEventLoop()) action() else loop.execute(action)
     }
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointConnections.kt
@@ -30,6 +30,7 @@
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
 import sniperoute.connection.endpoint.message.OnCallEvent
+import sniperoute.connection.endpoint.message.ProgressSource
 import sniperoute.connection.endpoint.message.ResponseStarted
 import sniperoute.connection.http.ResponseHead
 import sniperoute.connection.http.addAll
@@ -114,9 +115,14 @@
         if (isEnabled) restartTimers() else cancelTimers()
     }
 
+    /** Restarts the timeouts of [call], if the connection serves it and reads its response. */
+    fun recordProgress(call: EndpointCall) {
+        if (served?.call === call && context.channel().config().isAutoRead) restartTimers()
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val current = served ?: return close()
-        restartTimers()
+        if (message is HttpResponse || current.call.progress == ProgressSource.RECEIVED_BYTES) restartTimers()
         if (message.decoderResult().isFailure) {
             return fail(CallFailure.MALFORMED, message.decoderResult().cause().message ?: "the response cannot be parsed")
         }
@@ -197,7 +203,7 @@
     private fun restartTimers() {
         cancelTimers()
         val call = served?.call ?: return
-        idleTimer = after(call.idleTimeout) { fail(CallFailure.SILENT, "no data was received for ${call.idleTimeout}") }
+        idleTimer = after(call.idleTimeout) { fail(CallFailure.SILENT, "no progress was made for ${call.idleTimeout}") }
         call.stallTimeout?.let(::startStallTimer)
     }
 
@@ -205,7 +211,7 @@
         stallTimer = after(timeout) {
             startStallTimer(timeout)
             pool.evictAll(address)
-            served?.onEvent?.invoke(CallStalled("no data was received for $timeout"))
+            served?.onEvent?.invoke(CallStalled("no progress was made for $timeout"))
         }
     }
 
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -13,10 +13,11 @@
 public data class EndpointAddress(public val host: String, public val port: Int)
 
 /**
- * A call to the endpoint at [address]. Its response carries [requestId], unless that is `null`. The call fails when no byte is received
+ * A call to the endpoint at [address]. Its response carries [requestId], unless that is `null`. The call fails when it makes no progress
  * for [idleTimeout] while reading is enabled, or when the content is longer than [maxContentBytes], unless that is `null`. Unless
- * [stallTimeout] is `null`, the call reports each such time without a byte, and goes on. A call that
- * [requiresNewConnection] does not reuse an idle one.
+ * [stallTimeout] is `null`, the call reports each such time without progress, and goes on. The head of the response is progress, and so
+ * is each byte of its content, unless the [progress] is reported by [RunningCall.recordProgress]. A call that [requiresNewConnection] does
+ * not reuse an idle one.
  */
 public class EndpointCall(
     public val address: EndpointAddress,
@@ -29,8 +30,12 @@
     public val requiresNewConnection: Boolean = false,
     public val maxContentBytes: Long? = DEFAULT_MAX_CONTENT_BYTES,
     public val stallTimeout: Duration? = null,
+    public val progress: ProgressSource = ProgressSource.RECEIVED_BYTES,
 )
 
+/** Who tells that a call makes progress: its connection, for each byte, or the one that started the call. */
+public enum class ProgressSource { RECEIVED_BYTES, REPORTED }
+
 private const val DEFAULT_MAX_CONTENT_BYTES = 4L * 1024 * 1024
 
 /** The reason why a call has no complete response. */
@@ -41,7 +46,7 @@
     /** The connection broke after part of the request may have been written. */
     BROKEN,
 
-    /** No byte was received for the idle timeout of the call. */
+    /** The call made no progress for its idle timeout. */
     SILENT,
 
     /** The response does not belong to the call: it has another request ID, lacks a required one, or is a second response. */
@@ -60,7 +65,7 @@
 /** Part of the content was received. */
 public class ContentReceived(public val bytes: ByteArray) : CallEvent
 
-/** No byte was received for the stall timeout of the call, which goes on. */
+/** The call made no progress for its stall timeout, and goes on. */
 public data class CallStalled(public val reason: String) : CallEvent
 
 /** The response is complete. */
@@ -79,4 +84,7 @@
 
     /** Starts or stops reading the response, as backpressure from a slow caller. */
     public fun setReading(isEnabled: Boolean)
+
+    /** Tells that the content received last is progress. */
+    public fun recordProgress()
 }
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
@@ -22,6 +22,7 @@
 import sniperoute.process.clock.systemClock
 import sniperoute.process.identity.newIncarnation
 import sniperoute.process.ring.ring
+import sniperoute.request.admission.decision.StopTiming
 import sniperoute.request.routing.decision.RoutingSettings
 import sniperoute.request.routing.message.RequestId
 import sniperoute.request.run.codec.nativeProtocol
@@ -53,7 +54,7 @@
     },
     serveAdministration = ::serveAdministration,
     threads = threads,
-    drain = drain,
+    stopTiming = StopTiming(READINESS_LAG, READINESS_LAG + drain),
     timelineEvents = timelineEvents,
 )
 
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -3,7 +3,9 @@
  */
 package sniperoute.router
 
+import arrow.core.flatMap
 import arrow.core.left
+import arrow.core.right
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.common.GroupDiscovery
 import sniperoute.common.ListEndpoints
@@ -52,7 +54,13 @@
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.admission.decision.Stop
+import sniperoute.request.admission.decision.StopTiming
+import sniperoute.request.admission.decision.begin
 import sniperoute.request.admission.decision.isReady
+import sniperoute.request.admission.decision.noRequestDurations
+import sniperoute.request.admission.decision.record
+import sniperoute.request.admission.decision.takes
 import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.routing.decision.PlacementPolicy
 import sniperoute.request.routing.decision.RoutingSettings
@@ -78,9 +86,12 @@
 private const val ROUTING_RING_CAPACITY = 16_384
 private const val SESSION_RING_CAPACITY = 8_192
 
-/** How long a stopping router still accepts requests, until load balancers have noticed that it is not ready. */
-private val READINESS_LAG = 2_300.milliseconds
+/** Load balancers have noticed after this time that a router is not ready. */
+public val READINESS_LAG: Duration = 2_300.milliseconds
 private val DRAIN_CHECK_INTERVAL = 20.milliseconds
+
+/** The last responses are written in this time before the process ends. */
+private val LAST_RESPONSES_TIME = 100.milliseconds
 private val DUTY_STOP_TIMEOUT = 200.milliseconds
 
 /** Returns the identity of the request that is number [number] of this process. */
@@ -132,7 +143,7 @@
     public val watchEndpoints: WatchEndpoints,
     public val serveAdministration: ServeAdministration,
     public val threads: Int,
-    public val drain: Duration,
+    public val stopTiming: StopTiming,
     public val timelineEvents: Int,
 )
 
@@ -158,8 +169,8 @@
     private val runs = RunRegistry()
     private val lastRequest = AtomicLong()
     private val watchedRevision = AtomicLong(-1)
-    private val isStopping = AtomicBoolean(false)
-    private val isDraining = AtomicBoolean(false)
+    private val stop = AtomicReference<Stop?>(null)
+    private val durations = AtomicReference(noRequestDurations())
     private val isFirstLeaseRecorded = AtomicBoolean(false)
     private val routingState = AtomicReference(newRoutingState(clock(), options.routing))
     private val session = SessionDuty(
@@ -200,7 +211,7 @@
             options.callers.port,
             { options.frontEnd.httpLimits(session.view.get()) },
             options.tls,
-            isStopping::get,
+            { stop.get() != null },
             ::receive,
         )
         recorder.record(EventKind.PROCESS_READY, detail = "callers on port ${callers.port}, administration on port ${administration.port}")
@@ -239,7 +250,7 @@
         val id = front.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.withSuffix() else it }
         val incoming =
             IncomingRequest(exchange, id, session.view.get(), LedgerOwner(options.location.vm, incarnation, id.text), dependencies, clock())
-        val run = if (isDraining.get()) drainingRefusal.left() else front.createRun(incoming)
+        val run = front.createRun(incoming).flatMap { if (isTaken(it, incoming.now)) it.right() else drainingRefusal.left() }
         run.fold(
             ifLeft = { refusal ->
                 recorder.record(
@@ -257,6 +268,9 @@
         )
     }
 
+    private fun isTaken(run: RequestRun, now: Timestamp): Boolean =
+        stop.get()?.takes(run.admitted.route, durations.get(), now) ?: true
+
     /** Returns an unused id for a request whose id is that of another one in progress. */
     private fun RequestId.withSuffix(): RequestId = RequestId("$text-${lastRequest.get()}")
 
@@ -264,33 +278,46 @@
         runs.remove(run.admitted.id)
         val route = run.admitted.route.name.text
         requests.labelValues(route, outcome.text).inc()
+        if (outcome == Outcome.RAN) durations.updateAndGet { it.record(run.admitted.route.name, clock() - run.admitted.arrived) }
         firstToken?.let { firstTokens.labelValues(route).observe((it - run.admitted.arrived).toDouble(DurationUnit.SECONDS)) }
     }
 
     private fun unreadyReason(): String? = when {
-        isStopping.get() -> "this router is stopping"
+        stop.get() != null -> "this router is stopping"
         !session.view.get().isReady(clock()) -> "no valid lease from the control replicas"
         else -> null
     }
 
     /**
      * Drains the router: it first reports that it is not ready, then accepts no new connections or requests, and ends once all
-     * requests have their responses or the drain timeout is over. The session duty stops before the threads that perform its effects.
+     * requests have their responses or the time is over. Requests that are still in progress then are ended with what is known of them.
+     * The session duty stops before the threads that perform its effects.
      */
     private fun stop(callers: HttpServer) {
-        isStopping.set(true)
+        val begun = options.stopTiming.begin(clock())
+        stop.set(begun)
         recorder.record(EventKind.PROCESS_STOPPING, detail = "${runs.size} requests in progress")
-        Thread.sleep(READINESS_LAG.inWholeMilliseconds)
-        isDraining.set(true)
+        sleepUntil(begun.refusesFrom)
         callers.stopListening()
         callers.closeIdleConnections()
-        val drainDeadline = clock() + options.drain
+        val drainDeadline = begun.endsAt - LAST_RESPONSES_TIME
         while ((runs.isNotEmpty() || callers.hasConnections) && clock() < drainDeadline) {
             Thread.sleep(DRAIN_CHECK_INTERVAL.inWholeMilliseconds)
             callers.closeIdleConnections()
         }
+        endRuns(begun.endsAt)
         sessionDuty.stop(DUTY_STOP_TIMEOUT)
         network.close()
         threads.close()
     }
+
+    private fun sleepUntil(time: Timestamp) = Thread.sleep((time - clock()).inWholeMilliseconds.coerceAtLeast(0))
+
+    /** Ends the requests in progress, and waits until [deadline] for their responses to be written. */
+    private fun endRuns(deadline: Timestamp) {
+        if (runs.isEmpty()) return
+        recorder.record(EventKind.PROCESS_STOPPING, detail = "${runs.size} requests are ended before their responses")
+        runs.values.forEach { run -> run.onThread { run.endAtStop() } }
+        sleepUntil(deadline)
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -11,6 +11,7 @@
 import sniperoute.connection.endpoint.message.CallStalled
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.endpoint.message.EndpointCall
+import sniperoute.connection.endpoint.message.ProgressSource
 import sniperoute.connection.endpoint.message.ResponseStarted
 import sniperoute.connection.endpoint.message.RunningCall
 import sniperoute.connection.http.CallerConnectionListener
@@ -193,6 +194,7 @@
             requiresNewConnection = isFresh || admitted.route.repetition == Repetition.ONCE_ONLY,
             maxContentBytes = null,
             stallTimeout = context.protocol.stallTimeout(admitted, context.wantsStream, left),
+            progress = ProgressSource.REPORTED,
         )
     }
 
@@ -203,6 +205,7 @@
         } else if (!hasEnded && currentDispatch === dispatch) {
             if (event is ResponseStarted) reportLoad(event.head)
             val step = assembly.take(event)
+            if (step.assembly.progressCount > assembly.progressCount) call?.recordProgress()
             assembly = step.assembly
             step.effects.forEach { if (currentDispatch === dispatch) perform(it) }
         }
@@ -351,8 +354,13 @@
         end(Outcome.RAN)
     }
 
+    /** Ends the run because the process stops. The caller learns whether the request may have run. */
+    public fun endAtStop(): Unit = endEarly(RefusalKind.NOT_READY, "this router stopped")
+
     /** Responds to the caller at the deadline, whatever the endpoint may still send. */
-    private fun onDeadline() {
+    private fun onDeadline() = endEarly(RefusalKind.DEADLINE, "the deadline passed")
+
+    private fun endEarly(notRun: RefusalKind, reason: String) {
         if (hasEnded || isCallerDisconnected) return
         isCancelled = true
         val wasDispatched = currentDispatch != null
@@ -361,9 +369,9 @@
         dependencies.sendToRouting(RequestCancelled(admitted.id))
         mayHaveRun = mayHaveRun || wasDispatched
         when {
-            assembly.hasStarted -> abortResponse("the deadline passed")
-            mayHaveRun -> loseCall(RefusalKind.DEADLINE, "the deadline passed")
-            else -> refuse(Refusal(RefusalKind.DEADLINE, "the deadline passed"))
+            assembly.hasStarted -> abortResponse(reason)
+            mayHaveRun -> loseCall(RefusalKind.DEADLINE, reason)
+            else -> refuse(Refusal(notRun, reason))
         }
     }
 
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -123,6 +123,9 @@
 private fun Assembly.fail(kind: AttemptFailureKind, reason: String, response: SendResponse? = null): AssemblyStep =
     AssemblyStep(this, persistentListOf(FailAttempt(kind, mayRepeat, reason, response, progress)))
 
+/** Grows with each event of a stream and with each byte of a buffered response; bytes that complete no event are no progress. */
+internal val Assembly.progressCount: Long get() = delivered + contentBytes
+
 /** Whether another attempt could go on from here. */
 private val Assembly.mayRepeat: Boolean get() = !isDone && (delivered == 0L || (mayResume && isResumable))
 
--- a/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -18,6 +18,7 @@
 import sniperoute.request.run.requestRun
 import sniperoute.version.message.*
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import kotlin.time.Duration
@@ -79,6 +80,8 @@
                     }
 
                     override fun setReading(isEnabled: Boolean) = Unit
+
+                    override fun recordProgress() = Unit
                 }
             },
             requestLedger = { _, _, _ -> },
@@ -119,4 +122,21 @@
             expectThat(cancelled.size).isEqualTo(if (decision is Dispatch) 1 else 0)
         }
     }
+
+    @Test
+    fun `a request in progress when the process ends is answered with what is known of it, never as not run once it was sent`() {
+        val sentBefore = run()
+        sentBefore.begin()
+        sentBefore.perform(dispatch(1))
+        sentBefore.endAtStop()
+        expectThat(content.toString()).contains("may-have-run").contains("this router stopped")
+        expectThat(cancelled.size).isEqualTo(1)
+        content.clear()
+        val waiting = run()
+        waiting.begin()
+        waiting.endAtStop()
+        waiting.perform(dispatch(1))
+        expectThat(content.toString()).contains("not-run")
+        expectThat(listeners.size).isEqualTo(1)
+    }
 }
--- a/request/src/test/kotlin/sniperoute/request/SilentEndpointTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/SilentEndpointTest.kt
@@ -38,6 +38,7 @@
 
 private const val GAP_MILLISECONDS = 200L
 private const val SILENCE_MILLISECONDS = 1_000L
+private const val TRICKLED_PARTS = 20
 private const val WHOLE_STREAM = "id: 1\ndata: {\"n\":1}\n\nid: 2\ndata: {\"n\":2}\n\ndata: [DONE]\n\n"
 
 class SilentEndpointTest {
@@ -48,8 +49,11 @@
     @AfterEach
     fun close() = threads.close()
 
-    /** Starts an endpoint that sends one event and falls silent; it goes on with the next one if [recovers]. */
-    private fun endpoint(recovers: Boolean): Endpoint {
+    /**
+     * Starts an endpoint that sends one event and falls silent, or sends bytes that complete no event if there is [trickle]; it goes on
+     * with the next one if [recovers].
+     */
+    private fun endpoint(recovers: Boolean, trickle: String = ""): Endpoint {
         val server = threads.serve("127.0.0.1", 0) { exchange ->
             val number = calls.incrementAndGet()
             val resumesAfter = exchange.head.headers.valueOrNull("last-event-id")
@@ -66,7 +70,12 @@
             if (resumesAfter == null) exchange.send("id: 1\ndata: {\"n\":1}\n\n".toByteArray())
             val isSilent = number == 1
             thread(isDaemon = true) {
-                if (isSilent) Thread.sleep(SILENCE_MILLISECONDS)
+                if (isSilent) {
+                    repeat(TRICKLED_PARTS) {
+                        Thread.sleep(SILENCE_MILLISECONDS / TRICKLED_PARTS)
+                        if (trickle.isNotEmpty()) exchange.send(trickle.toByteArray())
+                    }
+                }
                 if (!isSilent || recovers) {
                     exchange.send("id: 2\ndata: {\"n\":2}\n\ndata: [DONE]\n\n".toByteArray())
                     exchange.end()
@@ -149,7 +158,7 @@
         }
     }
 
-    private val plenty = RetryAllowance(ratio = 1.0, extra = 20)
+    private val plenty = RetryAllowance(ratio = 2.0, extra = 20.0)
     private val stream = Route(
         name = RouteName("stream"),
         path = "/v1",
@@ -170,7 +179,7 @@
 
     @Test
     fun `a stream is not cut by its endpoint's silence when the retry budget is spent`() {
-        val router = Router(listOf(endpoint(recovers = true), endpoint(recovers = true)), stream, RetryAllowance(ratio = 0.0, extra = 0))
+        val router = Router(listOf(endpoint(recovers = true), endpoint(recovers = true)), stream, RetryAllowance(ratio = 0.0, extra = 0.0))
         expectThat(router.request()).isEqualTo(WHOLE_STREAM)
     }
 
@@ -191,4 +200,15 @@
         expectThat(router.request()).isEqualTo(WHOLE_STREAM)
         expectThat(calls.get()).isEqualTo(2)
     }
+
+    @Test
+    fun `a stream whose endpoint sends bytes but no event goes on at another endpoint`() {
+        listOf(":", ": waiting\n", "x").forEach { trickle ->
+            calls.set(0)
+            val router = Router(listOf(endpoint(false, trickle), endpoint(false, trickle)), stream, plenty)
+            val events = router.request().lines().filter { !it.startsWith(":") }
+            expectThat(events.filter { it.isNotEmpty() }).describedAs(trickle).isEqualTo(WHOLE_STREAM.lines().filter { it.isNotEmpty() })
+            expectThat(calls.get()).describedAs(trickle).isEqualTo(2)
+        }
+    }
 }
