Send no request to an endpoint that says it leaves, or during the pause that it asked for

Cause: no code read an endpoint's announcement to leave, nor the Retry-After of its 503, so a router went on sending it requests. The announcement isn't sent to the other routers: the platform's list tells them.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -67,6 +67,8 @@
  * @property isReportShared is `true` once the leader has sent the workload of all routers at the endpoint.
  * @property rejections counts rejected requests; a first token resets it.
  * @property limit bounds the requests that this router may send; `null` while the endpoint takes any number.
+ * @property hasAnnouncedLeaving is `true` once a response said that the endpoint leaves; [isLeaving] is what lists and reports say.
+ * @property pausedUntil is the time until which the endpoint wants no request from this router.
  */
 public data class EndpointState(
     public val endpoint: Endpoint,
@@ -90,6 +92,8 @@
     public val isReportShared: Boolean = false,
     public val rejections: Int = 0,
     public val limit: RouterRequestLimit? = null,
+    public val hasAnnouncedLeaving: Boolean = false,
+    public val pausedUntil: Timestamp = Timestamp.EARLIEST,
 )
 
 /** Returns the weights that serve a request for [model] here, or `null` if they are unknown or there are none. */
@@ -121,7 +125,8 @@
  */
 internal fun EndpointState.isProbed(now: Timestamp): Boolean = isAvailable(now) && ownRequests.isEmpty()
 
-private fun EndpointState.isAvailable(now: Timestamp): Boolean = !isLeaving && !isChanging && now >= ejectedUntil
+private fun EndpointState.isAvailable(now: Timestamp): Boolean =
+    !isLeaving && !hasAnnouncedLeaving && !isChanging && now >= ejectedUntil && now >= pausedUntil
 
 /** Returns the free slots: all slots without this router's requests and without those that other routers had at the last report. */
 public fun EndpointState.freeSlots(now: Timestamp): Int = endpoint.slots - ownRequests.size - othersRunning(now)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -75,11 +75,12 @@
 /** Returns why a queued request must be refused at [now], or `null` while it may wait. */
 private fun RoutingState.refusalOrNull(request: AdmittedRequest, now: Timestamp): Refusal? {
     val workspace = request.workspace
+    val queueDeadline = retries[request.id]?.queueDeadline ?: request.queueDeadline
     return when {
         view.catalogue.isQuarantined(request) -> quarantined()
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         request.key != null && request.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
-        now < (retries[request.id]?.queueDeadline ?: request.queueDeadline) -> null
+        now < queueDeadline -> pausedRefusalOrNull(request, queueDeadline, now)
         workspace != null && !hasTokens(request, now) ->
             Refusal(RefusalKind.OVER_RATE, overRateMessage(workspace, request, now), retryAfter = retryAfter(request))
         request.queueDeadline < request.deadline ->
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -109,6 +109,7 @@
         val message = "the request may use ${request.tokens} tokens, more than the burst of ${workspace.burstTokens}"
         return unchanged().emit(Refuse(request.id, Refusal(RefusalKind.OVER_RATE, message)))
     }
+    pausedRefusalOrNull(request, request.queueDeadline, now)?.let { return unchanged().emit(Refuse(request.id, it)) }
     val queued = QueuedRequest(request, workspace?.tokensPerSecond ?: 1)
     val queue = queueOf(request.service).enqueueOrNull(queued) ?: return unchanged().emit(
         Refuse(request.id, Refusal(RefusalKind.OVERLOADED, "the queue of this workspace is full", retryAfter = FULL_QUEUE_RETRY_DELAY)),
@@ -118,7 +119,7 @@
         .drain(request.service, policy, now)
 }
 
-internal fun RoutingState.budgetOf(service: ServiceName): RetryBudget = budgets[service] ?: unspentRetryBudget()
+internal fun RoutingState.budgetOf(service: ServiceName): RetryBudget = budgets[service] ?: newRetryBudget(started)
 
 private val FULL_QUEUE_RETRY_DELAY = 1_000.milliseconds
 
@@ -157,10 +158,15 @@
 /** Takes over what the head of a response reports. The weights there are newer than those in any list. */
 private fun RoutingState.onHead(input: ResponseHeadReceived, now: Timestamp): RoutingStep {
     val run = running[input.id] ?: return unchanged()
-    val named = input.load.limit ?: return withLoad(run, input.load, now).unchanged()
-    return withLoad(run, input.load, now).onNamedLimit(run.endpoint, named, now)
+    val next = withLoad(run, input.load, now).withNotices(run, input.load, now)
+    val named = input.load.limit ?: return next.unchanged()
+    return next.onNamedLimit(run.endpoint, named, now)
 }
 
+/** A response of an earlier incarnation says nothing about the present one. */
+private fun RoutingState.withNotices(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState =
+    withEndpoint(run.endpoint) { if (run.request.id in it.ownRequests) it.withNotices(load, now) else it }
+
 private fun RoutingState.withLoad(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState =
     withEndpoint(run.endpoint) { endpoint ->
         val model = run.request.model
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -52,12 +52,17 @@
 /** The requests a second that an endpoint says it takes from all routers together; `null` when it takes any number. */
 public data class NamedLimit(public val perSecond: Double?)
 
-/** Load, weights and limit that an endpoint reports in the head of a response; `null` where it reports nothing. */
+/**
+ * Load, weights and limit that an endpoint reports in the head of a response; `null` where it reports nothing. The endpoint may say that
+ * it [isLeaving], and, when it rejects a request, that it wants no further one from this router for the time [pause].
+ */
 public data class ResponseLoadReport(
     public val running: Int? = null,
     public val waiting: Int? = null,
     public val weights: WeightsVersion? = null,
     public val limit: NamedLimit? = null,
+    public val isLeaving: Boolean = false,
+    public val pause: Duration? = null,
 )
 
 /** The head of a response was received. */
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -28,10 +28,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val model = ModelName("m")
-private val service = ServiceName("desk")
+internal val model = ModelName("m")
+internal val service = ServiceName("desk")
 private val store = StoreAddress("10.0.0.9", 80, FailureDomain("d"), 100_000)
-private val review = Route(
+internal val review = Route(
     name = RouteName("review"),
     path = "/",
     service = service,
@@ -45,7 +45,7 @@
     isStreamed = true,
 )
 
-private fun items(weights: Long): List<CatalogueItem> = listOf(
+internal fun items(weights: Long): List<CatalogueItem> = listOf(
     ServiceItem(
         Service(
             service,
@@ -62,7 +62,7 @@
     ModelWeightsItem(ModelWeights(model, weights, start)),
 )
 
-private fun fleetEndpoint(name: String, weights: Long = 1, isChanging: Boolean = false, incarnation: String = "1") = FleetEndpoint(
+internal fun fleetEndpoint(name: String, weights: Long = 1, isChanging: Boolean = false, incarnation: String = "1") = FleetEndpoint(
     ListedEndpoint(
         Endpoint(EndpointName(name), "h-$name", 1, FailureDomain("d"), 64, true),
         service,
@@ -75,10 +75,10 @@
     isChanging,
 )
 
-private fun fleet(number: Long, vararg endpoints: FleetEndpoint) =
+internal fun fleet(number: Long, vararg endpoints: FleetEndpoint) =
     FleetChanged(FleetView(number, endpoints.fold(persistentMapOf()) { all, endpoint -> all.put(endpoint.name, endpoint) }))
 
-private fun listedRequest(id: String, at: Timestamp, session: Long = 7, route: Route = review) = AdmittedRequest(
+internal fun listedRequest(id: String, at: Timestamp, session: Long = 7, route: Route = review) = AdmittedRequest(
     id = RequestId(id),
     workspace = null,
     key = null,
@@ -96,9 +96,9 @@
     queueDeadline = at + 100.milliseconds,
 )
 
-private class ListedDriver(settings: RoutingSettings = RoutingSettings(), weights: Long = 1) {
+internal class ListedDriver(settings: RoutingSettings = RoutingSettings(), weights: Long = 1) {
     var now = start
-    var state = newRoutingState(start, settings)
+    var state = newRoutingState(start - 60.seconds, settings)
 
     init {
         input(ViewChanged(view(items(weights))))
@@ -220,7 +220,7 @@
 
     @Test
     fun `retries stay within one router's share of the fleet's budget`() {
-        val router = ListedDriver(RoutingSettings(RetryAllowance(ratio = 0.2, extra = 56, window = 10.seconds)))
+        val router = ListedDriver(RoutingSettings(RetryAllowance(ratio = 0.2, extra = 56.0, window = 10.seconds)))
         router.input(RouterCountChanged(8))
         router.input(fleet(1, *List(6) { fleetEndpoint("e$it") }.toTypedArray()))
         var retries = 0
