Exchange workloads less often in large fleets, and encode a notice once for all routers

Each router sent and received a workload message every 50 ms, whatever the number of routers, and the leader encoded each notice once for every router.

--- a/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
@@ -108,7 +108,7 @@
             is ProposeCommand -> propose(effect)
             is SendSessionReply -> links.reply(effect.to, effect.message)
             is SendLedgerReply -> links.reply(effect.to, effect.reply)
-            is NotifyRouters -> effect.links.forEach { links.reply(ReplyAddress(it, 0), effect.message) }
+            is NotifyRouters -> links.notify(effect.links, effect.message)
             is SendOperatorReply -> duty.complete(effect)
             is ReadWeights -> readWeights(effect)
             is LoadWeights -> loadWeights(effect)
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -100,6 +100,12 @@
         routers[to.link]?.send(envelope(EnvelopeChannel.SESSION, to.correlation, message.encode()))
     }
 
+    /** Sends [message] to the routers at the links [to]. It is encoded once for all of them. */
+    fun notify(to: List<LinkId>, message: SessionMessage) {
+        val body = message.encode()
+        to.forEach { link -> routers[link]?.send(envelope(EnvelopeChannel.SESSION, 0, body)) }
+    }
+
     /** Sends [reply] to the router at [to]; drops it when the link is closed. */
     fun reply(to: ReplyAddress, reply: LedgerReply) {
         routers[to.link]?.send(envelope(EnvelopeChannel.LEDGER, to.correlation, reply.encode()))
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -19,22 +19,37 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** The shortest time between two messages of workloads, in either direction. */
+private val MIN_EXCHANGE_INTERVAL: Duration = 50.milliseconds
+
+/** Added to the interval for each router. */
+private val EXCHANGE_INTERVAL_PER_ROUTER: Duration = 2.milliseconds
+
+/**
+ * Returns the time between two messages of workloads to or from a router in a fleet of [routers]. It grows with their number, so that
+ * the leader receives and sends about as many messages a second in a fleet of any size, and each router fewer in a large one, where
+ * each also causes less of the load.
+ */
+public fun workloadExchangeInterval(routers: Int): Duration = maxOf(MIN_EXCHANGE_INTERVAL, EXCHANGE_INTERVAL_PER_ROUTER * routers)
+
 /** How often the workload of all endpoints is sent, changed or not, so that routers know that it is current. */
 private val FULL_UPDATE_INTERVAL: Duration = 1_000.milliseconds
 
 /**
  * The last reported workload of each router, the endpoints whose workload [changed] since the last message to routers, and the
- * reported cache blocks, [held] by endpoints and stores, that are still to be sent to routers.
+ * reported cache blocks, [held] by endpoints and stores, that are still to be sent to routers. No message is due before [nextUpdate].
  */
 public data class FleetWorkloads(
     public val byRouter: PersistentMap<RouterName, PersistentMap<EndpointName, EndpointWorkload>>,
     public val changed: PersistentSet<EndpointName>,
     public val held: PersistentList<CachedBlocks>,
     public val nextFullUpdate: Timestamp,
+    public val nextUpdate: Timestamp,
 )
 
 /** Returns the state of a leader that has received no report yet. */
-public fun noFleetWorkloads(): FleetWorkloads = FleetWorkloads(persistentMapOf(), persistentSetOf(), persistentListOf(), Timestamp.EARLIEST)
+public fun noFleetWorkloads(): FleetWorkloads =
+    FleetWorkloads(persistentMapOf(), persistentSetOf(), persistentListOf(), Timestamp.EARLIEST, Timestamp.EARLIEST)
 
 /**
  * Returns the state with the [report] of [router] applied. A complete one corrects what lost reports have left behind; of its
@@ -63,12 +78,19 @@
 
 /** Returns the message for routers that is due at [now], if any. */
 public fun FleetWorkloads.nextMessage(now: Timestamp): FleetWorkloadStep {
+    if (now < nextUpdate) return FleetWorkloadStep(this, null)
     val isFullUpdate = now >= nextFullUpdate
     val endpoints = if (isFullUpdate) byRouter.values.flatMap { it.keys }.toSet() + changed else changed
     if (endpoints.isEmpty() && held.isEmpty()) return FleetWorkloadStep(this, null)
     val message = FleetWorkload(endpoints.sorted().map(::total).toPersistentList(), held)
-    val nextUpdate = if (isFullUpdate) now + FULL_UPDATE_INTERVAL else nextFullUpdate
-    return FleetWorkloadStep(FleetWorkloads(byRouter, persistentSetOf(), persistentListOf(), nextUpdate), message)
+    val next = FleetWorkloads(
+        byRouter = byRouter,
+        changed = persistentSetOf(),
+        held = persistentListOf(),
+        nextFullUpdate = if (isFullUpdate) now + FULL_UPDATE_INTERVAL else nextFullUpdate,
+        nextUpdate = now + workloadExchangeInterval(byRouter.size),
+    )
+    return FleetWorkloadStep(next, message)
 }
 
 private fun FleetWorkloads.total(endpoint: EndpointName): EndpointWorkload {
--- a/version/src/test/kotlin/sniperoute/version/FleetTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/FleetTest.kt
@@ -20,6 +20,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -107,6 +108,27 @@
         }
     }
 
+    @Test
+    fun `a leader sends fewer messages to each router of a large fleet, and all of them together do not grow with it`() {
+        val messages = listOf(8, 30, 100, 300).associateWith { count ->
+            val routers = List(count) { RouterName(VmName("r$it"), Incarnation(1)) }
+            val random = Random(count)
+            var workloads = noFleetWorkloads()
+            var now = Timestamp(1_000_000)
+            (1..200).count {
+                now += 50.milliseconds
+                workloads = routers.fold(workloads) { all, router ->
+                    val workload = EndpointWorkload(EndpointName("e${random.nextInt(50)}"), 1 + random.nextInt(9), 0)
+                    all.recordReport(router, WorkloadReport(persistentListOf(workload), persistentListOf()))
+                }
+                workloads.nextMessage(now).also { step -> workloads = step.workloads }.message != null
+            } * count
+        }
+        expectThat(messages.getValue(8)).isEqualTo(8 * 200)
+        expectThat(messages.getValue(300)).isLessThanOrEqualTo(messages.getValue(100))
+        expectThat(messages.getValue(100)).isLessThanOrEqualTo(messages.getValue(30))
+    }
+
     private val service = ServiceName("s")
 
     private fun observation(stepStarted: Timestamp, new: EvidenceSum = noEvidence()) = MoveObservation(
