Wait for tokens that are under way, and keep a small reserve of them at every router

Cause: a router that sees little of a workspace's traffic holds no tokens, fetches them request by request, and refused after an eighth of the objective (25 to 62 ms), while the grant was on its way. The caller then met another router without tokens. Change: a request waits for tokens that are under way, or due in time, for half of its objective at most, and is refused at once when the leader has said that there will be none by then, with that time as Retry-After.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -17,6 +17,7 @@
 import sniperoute.version.message.WorkspaceName
 import sniperoute.version.message.isLimited
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 
 /** Returns the state after each workspace with requests of [service] in the queue requested or returned tokens. */
@@ -36,7 +37,8 @@
 internal fun RoutingState.adjustTokens(workspace: WorkspaceName, now: Timestamp): RoutingStep {
     if (accruesAlone(now)) return unchanged()
     val queued = queues.values.sumOf { it.queuedTokens(workspace) }
-    val adjustment = tokens.adjust(workspace, queued, now)
+    val reserve = view.catalogue.workspaces[workspace]?.let { settings.minimumTokenReserve(it, routers) } ?: 0
+    val adjustment = tokens.adjust(workspace, queued, now, reserve)
     val next = copy(tokens = adjustment.pools).unchanged()
     return when {
         adjustment.requested > 0 -> next.emit(RequestTokens(workspace, adjustment.requested))
@@ -80,15 +82,40 @@
         view.catalogue.isQuarantined(request) -> quarantined()
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         request.key != null && request.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
+        workspace != null && !hasTokens(request, now) -> overRateRefusalOrNull(workspace, request, queueDeadline, now)
         now < queueDeadline -> pausedRefusalOrNull(request, queueDeadline, now)
-        workspace != null && !hasTokens(request, now) ->
-            Refusal(RefusalKind.OVER_RATE, overRateMessage(workspace, request, now), retryAfter = retryAfter(request))
         request.queueDeadline < request.deadline ->
             Refusal(RefusalKind.OVERLOADED, overloadMessage(request, now), retryAfter = retryAfter(request))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint had a free slot before the route's deadline")
     }
 }
 
+/** The share of its objective for which a request waits for tokens that may be granted in time. */
+private const val GRANT_WAIT_SHARE = 0.5
+
+/**
+ * Returns the refusal of a request for which this router has not enough tokens, or `null` while it may wait for them. While a request for
+ * tokens is under way, or one is due in time, the leader may still find the request within the rate. It is refused at once when the
+ * leader has said that there will be none in time.
+ */
+private fun RoutingState.overRateRefusalOrNull(
+    workspace: WorkspaceName,
+    request: AdmittedRequest,
+    queueDeadline: Timestamp,
+    now: Timestamp,
+): Refusal? {
+    val pool = tokens.poolOf(workspace)
+    val grantDeadline = maxOf(queueDeadline, request.arrived + request.route.objectiveMilliseconds.milliseconds * GRANT_WAIT_SHARE)
+    val waitsUntil = when {
+        accruesAlone(now) -> queueDeadline
+        pool.isAwaitingGrant(now) || now < pool.retryAt -> if (pool.retryAt <= grantDeadline) grantDeadline else Timestamp.EARLIEST
+        else -> queueDeadline
+    }
+    if (now < waitsUntil) return null
+    val retryAfter = maxOf(retryAfter(request), pool.retryAt - now)
+    return Refusal(RefusalKind.OVER_RATE, overRateMessage(workspace, request, now), retryAfter = retryAfter)
+}
+
 /** Describes for people why no endpoint took the request. */
 private fun RoutingState.overloadMessage(request: AdmittedRequest, now: Timestamp): String {
     val known = members[request.service].orEmpty().mapNotNull { endpoints[it] }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -104,6 +104,9 @@
     public val nextLimitReport: Timestamp = Timestamp.EARLIEST,
 )
 
+/** Returns the tokens of a workspace that each of a number of routers may hold for the next requests, whatever its recent use. */
+public typealias MinimumTokenReserve = (workspace: Workspace, routers: Int) -> Long
+
 /**
  * Settings of the routing duty.
  *
@@ -114,6 +117,7 @@
     public val retries: RetryAllowance = RetryAllowance(),
     public val weightsLimit: Duration? = null,
     public val accruesWithoutControl: Boolean = false,
+    public val minimumTokenReserve: MinimumTokenReserve = { _, _ -> 0 },
 )
 
 /** Target weights of a model, and when this router learned of them. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
@@ -94,10 +94,13 @@
 /** The tokens to request or to return, at most one of them positive, and the pools after that. */
 public data class TokenAdjustment(public val requested: Long, public val returned: Long, public val pools: TokenPools)
 
-/** Returns what [workspace] requests or returns at [now], while requests that need [queued] tokens wait at this router. */
-public fun TokenPools.adjust(workspace: WorkspaceName, queued: Long, now: Timestamp): TokenAdjustment {
+/**
+ * Returns what [workspace] requests or returns at [now], while requests that need [queued] tokens wait at this router. The reserve is at
+ * least [minimumReserve].
+ */
+public fun TokenPools.adjust(workspace: WorkspaceName, queued: Long, now: Timestamp, minimumReserve: Long = 0): TokenAdjustment {
     val pool = poolOf(workspace).rolledTo(now)
-    val wanted = queued + pool.reserve()
+    val wanted = queued + maxOf(pool.reserve(), minimumReserve)
     val missing = wanted - pool.available
     return when {
         missing > 0 && pool.mayRequest(now) ->
@@ -108,6 +111,9 @@
     }
 }
 
+/** Whether a request for tokens is under way at [now], so that more of them may come. */
+internal fun TokenPool.isAwaitingGrant(now: Timestamp): Boolean = requested > 0 && now - requestedAt <= REQUEST_TIMEOUT
+
 private fun TokenPool.mayRequest(now: Timestamp): Boolean =
     now >= retryAt && (requested == 0L || now - requestedAt > REQUEST_TIMEOUT)
 
