Look only at the endpoints that changed when the fleet view changes

Cause: while weights change, a large fleet's view changes up to 20 times a second, and each router rebuilt the states of all endpoints, the members of all services and their order for each change. Change: where the same endpoints are listed, only those whose entry changed are updated. Result: ListedRoutingTest compares 100 histories of single changes with the view read at once.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Timestamp
+import sniperoute.version.decision.FleetView
 import sniperoute.version.message.Endpoint
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
@@ -28,6 +29,25 @@
         .then { it.withEndpoints(listed).unchanged() }
 }
 
+/**
+ * Returns the state after the fleet view [before] was replaced. Views change many times a second in a large fleet, mostly by the weights
+ * of single endpoints; where the same endpoints are listed, only those that changed are looked at.
+ */
+internal fun RoutingState.withChangedEndpoints(before: FleetView, now: Timestamp): RoutingStep {
+    val changed = fleet.endpoints.values.filter { before.endpoints[it.name] !== it }
+    val isSameList = before.endpoints.size == fleet.endpoints.size &&
+        changed.all { before.endpoints[it.name]?.listed?.service == it.listed.service }
+    if (!isSameList) return withKnownEndpoints(now)
+    val known = changed.filter { it.name in endpoints }
+    return known
+        .filter { endpoints.getValue(it.name).isEarlierIncarnationOf(it) }
+        .fold(unchanged()) { step, endpoint -> step.then { it.onCrash(endpoint.name, now) } }
+        .then { state ->
+            val updated = known.fold(state.endpoints) { all, endpoint -> all.put(endpoint.name, state.listedState(endpoint)) }
+            state.copy(endpoints = updated).unchanged()
+        }
+}
+
 private fun EndpointState.isEarlierIncarnationOf(listed: FleetEndpoint): Boolean =
     incarnation != null && incarnation != listed.listed.incarnation
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -301,7 +301,9 @@
 }
 
 private fun RoutingState.onFleet(newFleet: FleetView, policy: PlacementPolicy, now: Timestamp): RoutingStep =
-    copy(fleet = newFleet, cacheIndex = withoutRestartedStores(newFleet)).withKnownEndpoints(now).then { it.drainAll(policy, now) }
+    copy(fleet = newFleet, cacheIndex = withoutRestartedStores(newFleet))
+        .withChangedEndpoints(fleet, now)
+        .then { it.drainAll(policy, now) }
 
 /** A store with a new incarnation is empty. */
 private fun RoutingState.withoutRestartedStores(newFleet: FleetView): PrefixCacheIndex =
--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -25,6 +25,7 @@
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -318,4 +319,25 @@
         val sent = List(4) { router.send("later$it", session = it.toLong(), route = once) }.mapNotNull { it?.endpoint?.name?.text }
         expectThat(sent.sorted()).isEqualTo(listOf("a", "b"))
     }
+
+    @Test
+    fun `a fleet view that changes step by step leaves the same endpoints as one that is read at once`() {
+        val random = Random(9)
+        repeat(100) {
+            val stepwise = ListedDriver()
+            var entries = emptyMap<String, FleetEndpoint>()
+            repeat(20) { number ->
+                val name = "e${random.nextInt(6)}"
+                val incarnation = "${1 + number / 8}"
+                val next = fleetEndpoint(name, 1L + number / 5, random.nextBoolean(), incarnation)
+                entries = if (random.nextInt(6) == 0) entries - name else entries + (name to next)
+                stepwise.input(fleet(1L + number, *entries.values.toTypedArray()))
+            }
+            val atOnce = ListedDriver()
+            atOnce.input(fleet(1, *entries.values.toTypedArray()))
+            expectThat(stepwise.state.members).isEqualTo(atOnce.state.members)
+            expectThat(stepwise.state.endpoints.mapValues { (_, state) -> Triple(state.isChanging, state.incarnation, state.release) })
+                .isEqualTo(atOnce.state.endpoints.mapValues { (_, state) -> Triple(state.isChanging, state.incarnation, state.release) })
+        }
+    }
 }
