Refuse a message of another process that states a wrong length, instead of ending with an exception

Found by ForeignMessagesTest: of 20,000 changed messages and log entries, some ended decoding with ArrayIndexOutOfBoundsException, on the thread of the link or of a duty, which ends the process. DecodingTest's samples have no arrays, so they never showed it. Cause: the CBOR library reports most malformed input by IllegalArgumentException, but reads beyond the end of some. Change: such an exception is a decoding error too, in the one place that all decoders go through.

--- a/process/src/main/kotlin/sniperoute/process/codec/Decoding.kt
+++ b/process/src/main/kotlin/sniperoute/process/codec/Decoding.kt
@@ -1,5 +1,6 @@
 /**
- * Decoding errors as values. The serialization libraries throw IllegalArgumentException for all input that they can't decode.
+ * Decoding errors as values. The serialization libraries throw IllegalArgumentException for most input that they can't decode, and
+ * IndexOutOfBoundsException for some that is cut or states a wrong length.
  */
 package sniperoute.process.codec
 
@@ -16,4 +17,6 @@
         decode().right()
     } catch (failure: IllegalArgumentException) {
         DecodingError(failure.message.orEmpty().substringBefore('\n')).left()
+    } catch (failure: IndexOutOfBoundsException) {
+        DecodingError("the input is cut, or states a wrong length: ${failure.message}").left()
     }
