Report workloads at once again, and send the fleet's at most a thousand times a second

Change: routers report at once, since each has little to report; only the leader's messages wait, 1 ms for each router.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -10,13 +10,16 @@
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.routing.message.FleetWorkloadReceived
 import sniperoute.request.routing.message.ReportWorkload
-import sniperoute.version.decision.workloadExchangeInterval
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.EndpointWorkload
 import sniperoute.version.message.WorkloadReport
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** The shortest time between two reports of a router. */
+private val REPORT_INTERVAL: Duration = 50.milliseconds
+
 /** How often a router reports its workload at all endpoints, since reports of changes may be lost. */
 private val COMPLETE_REPORT_INTERVAL: Duration = 1.seconds
 
@@ -48,7 +51,7 @@
 ): RoutingStep = copy(
     reportedWorkloads = report.work.fold(before) { all, workload -> all.put(workload.endpoint, workload) },
     newlyCached = persistentListOf(),
-    nextWorkloadReport = now + workloadExchangeInterval(routers),
+    nextWorkloadReport = now + REPORT_INTERVAL,
 ).unchanged().emit(ReportWorkload(report))
 
 private fun EndpointState.workload(): EndpointWorkload = EndpointWorkload(endpoint.name, ownRequests.size, ownWaitingTokens())
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -19,18 +19,15 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The shortest time between two messages of workloads, in either direction. */
-private val MIN_EXCHANGE_INTERVAL: Duration = 50.milliseconds
-
-/** Added to the interval for each router. */
-private val EXCHANGE_INTERVAL_PER_ROUTER: Duration = 2.milliseconds
+/** The shortest time between two messages to routers, and what each router adds to it. */
+private val MIN_UPDATE_INTERVAL: Duration = 50.milliseconds
+private val UPDATE_INTERVAL_PER_ROUTER: Duration = 1.milliseconds
 
 /**
- * Returns the time between two messages of workloads to or from a router in a fleet of [routers]. It grows with their number, so that
- * the leader receives and sends about as many messages a second in a fleet of any size, and each router fewer in a large one, where
- * each also causes less of the load.
+ * Returns the time between two messages to each of [routers]. It grows with their number, so that the leader sends about as many messages
+ * a second in a fleet of any size, and each router receives fewer in a large one.
  */
-public fun workloadExchangeInterval(routers: Int): Duration = maxOf(MIN_EXCHANGE_INTERVAL, EXCHANGE_INTERVAL_PER_ROUTER * routers)
+private fun updateInterval(routers: Int): Duration = maxOf(MIN_UPDATE_INTERVAL, UPDATE_INTERVAL_PER_ROUTER * routers)
 
 /** How often the workload of all endpoints is sent, changed or not, so that routers know that it is current. */
 private val FULL_UPDATE_INTERVAL: Duration = 1_000.milliseconds
@@ -88,7 +85,7 @@
         changed = persistentSetOf(),
         held = persistentListOf(),
         nextFullUpdate = if (isFullUpdate) now + FULL_UPDATE_INTERVAL else nextFullUpdate,
-        nextUpdate = now + workloadExchangeInterval(byRouter.size),
+        nextUpdate = now + updateInterval(byRouter.size),
     )
     return FleetWorkloadStep(next, message)
 }
