--- a/process/src/main/kotlin/sniperoute/process/codec/Decoding.kt
+++ b/process/src/main/kotlin/sniperoute/process/codec/Decoding.kt
@@ -12,6 +12,7 @@
 public data class DecodingError(public val reason: String)
 
 /** Returns the result of [decode], or the decoding error that it throws. */
+@Suppress("TooGenericExceptionCaught")
 public inline fun <T> catchDecodingErrors(decode: () -> T): Either<DecodingError, T> =
     try {
         decode().right()
