Test that late reports and listings leave running work alone

An operator's report: a machine that was only silent for a while had its running work started again elsewhere. Not so here: ListedRoutingTest plays an endpoint without any word for five seconds, then unlisted for one, then listed again; nothing is sent or given up.

--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -340,4 +340,18 @@
                 .isEqualTo(atOnce.state.endpoints.mapValues { (_, state) -> Triple(state.isChanging, state.incarnation, state.release) })
         }
     }
+
+    @Test
+    fun `work at an endpoint that is silent, or whose reports and listing are late, is neither started again nor given up`() {
+        val router = ListedDriver()
+        router.input(fleet(1, fleetEndpoint("a"), fleetEndpoint("b")))
+        val running = checkNotNull(router.send("1"))
+        val name = running.endpoint.name.text
+        val quiet = (1..50).flatMap { router.wait(100) }
+        val other = if (name == "a") "b" else "a"
+        val unlisted = router.input(fleet(2, fleetEndpoint(other))) + (1..20).flatMap { router.wait(50) }
+        val listedAgain = router.input(fleet(3, fleetEndpoint("a"), fleetEndpoint("b"))) + router.wait(50)
+        expectThat((quiet + unlisted + listedAgain).filter { it is Dispatch || it is GiveUp || it is Refuse }).isEmpty()
+        expectThat(router.state.running.keys.map { it.text }).isEqualTo(listOf("1"))
+    }
 }
