--- a/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ListedRoutingTest.kt
@@ -352,6 +352,9 @@
         val unlisted = router.input(fleet(2, fleetEndpoint(other))) + (1..20).flatMap { router.wait(50) }
         val listedAgain = router.input(fleet(3, fleetEndpoint("a"), fleetEndpoint("b"))) + router.wait(50)
         expectThat((quiet + unlisted + listedAgain).filter { it is Dispatch || it is GiveUp || it is Refuse }).isEmpty()
-        expectThat(router.state.running.keys.map { it.text }).isEqualTo(listOf("1"))
+        expectThat(
+            router.state.running.keys
+                .map { it.text },
+        ).isEqualTo(listOf("1"))
     }
 }
