--- a/process/src/main/kotlin/sniperoute/process/agreement/message/Replicas.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/message/Replicas.kt
@@ -50,7 +50,10 @@
 
 /** An entry of the log. */
 @Serializable
-public data class LogEntry(public val index: Long, public val term: Long, public val content: EntryContent)
+public data class LogEntry(public val index: Long, public val term: Long, public val content: EntryContent) {
+    /** The length of its command; entries that only the agreement uses are short and count as empty. */
+    public val commandBytes: Int get() = (content as? CommandEntry)?.bytes?.size ?: 0
+}
 
 /** The encoded state machine and the membership after the entry [index] was applied. */
 @Serializable
--- a/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
@@ -5,9 +5,13 @@
 package sniperoute.process.storage
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.raise.either
 import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.agreement.codec.LogBatch
 import sniperoute.process.agreement.codec.decodeLogBatch
 import sniperoute.process.agreement.codec.decodeSnapshot
@@ -15,6 +19,7 @@
 import sniperoute.process.agreement.decision.ReplicaLog
 import sniperoute.process.agreement.decision.append
 import sniperoute.process.agreement.decision.emptyLog
+import sniperoute.process.agreement.decision.inBatches
 import sniperoute.process.agreement.decision.replicaLog
 import sniperoute.process.agreement.decision.truncateFrom
 import sniperoute.process.agreement.message.LogEntry
@@ -82,12 +87,12 @@
     public fun replace(term: Long, votedFor: ReplicaIdentity?, replica: ReplicaLog): Either<StorageError, Unit> = catchIoErrors(folder) {
         val snapshot = replica.snapshot
         writeSynced(folder, snapshotName(snapshot.index), recordOf(snapshot.encode()))
-        val first = recordOf(LogBatch(term, votedFor, replica.entries).encode())
-        writeSynced(folder, logName(snapshot.index), first)
+        val batches = replica.entries.inBatches().ifEmpty { listOf(replica.entries) }
+        val written = writeSynced(folder, logName(snapshot.index), batches.map { { recordOf(LogBatch(term, votedFor, it).encode()) } })
         val newLog = openLog(folder.resolve(logName(snapshot.index)))
         log.close()
         log = newLog
-        validBytes = first.size.toLong()
+        validBytes = written
         deleteOtherFiles(folder, snapshot.index)
     }
 }
@@ -102,22 +107,18 @@
     val snapshot = readSnapshotOrNull(path).bind()
     val snapshotLog = snapshot?.let(::replicaLog) ?: emptyLog()
     val logPath = newestLogOrNull(path) ?: path.resolve(logName(snapshotLog.snapshot.index))
-    val bytes = catchIoErrors(logPath) { if (logPath.exists()) Files.readAllBytes(logPath) else ByteArray(0) }.bind()
-    val records = readRecords(bytes).mapLeft { FileCorrupted(logPath, it.offset, it.reason) }.bind()
-    val batches = records.contents.map { content ->
-        decodeLogBatch(content).mapLeft { FileCorrupted(logPath, 0, it.reason) }.bind()
-    }
+    val stored = readLog(logPath).bind()
     val isCurrent = logPath.name == logName(snapshotLog.snapshot.index)
-    val log = replay(logPath, snapshotLog, batches.entriesAfter(snapshotLog.snapshot, isCurrent)).bind()
+    val log = replay(logPath, snapshotLog, stored.entriesAfter(snapshotLog.snapshot, isCurrent)).bind()
     val channel = catchIoErrors(logPath) { openLog(logPath) }.bind()
     val recovered = RecoveredReplica(
         disk = disk,
-        term = batches.lastOrNull()?.term ?: log.lastTerm,
-        votedFor = batches.lastOrNull()?.votedFor,
+        term = stored.term ?: log.lastTerm,
+        votedFor = stored.votedFor,
         log = log,
-        truncatedBytes = bytes.size - records.validBytes,
+        truncatedBytes = stored.fileBytes - stored.validBytes,
     )
-    val folder = DataFolder(path, channel, records.validBytes)
+    val folder = DataFolder(path, channel, stored.validBytes)
     if (!isCurrent) folder.replace(recovered.term, recovered.votedFor, log).bind()
     OpenDataFolder(folder, recovered)
 }
@@ -165,17 +166,57 @@
 }
 
 private fun singleRecord(file: Path): Either<StorageError, ByteArray> = either {
-    val bytes = catchIoErrors(file) { Files.readAllBytes(file) }.bind()
-    val records = readRecords(bytes).mapLeft { FileCorrupted(file, it.offset, it.reason) }.bind()
-    records.contents.singleOrNull() ?: raise(FileCorrupted(file, records.validBytes, "its only record is damaged"))
+    val contents = mutableListOf<ByteArray>()
+    val validBytes = readRecords(file) { contents += it }.bind()
+    contents.singleOrNull() ?: raise(FileCorrupted(file, validBytes, "its only record is damaged"))
+}
+
+private fun readRecords(file: Path, onContent: (ByteArray) -> Unit): Either<StorageError, Long> =
+    catchIoErrors(file) { FileChannel.open(file, StandardOpenOption.READ).use { forEachRecord(it, onContent) } }
+        .flatMap { read -> read.mapLeft { FileCorrupted(file, it.offset, it.reason) } }
+
+/**
+ * The content of a log file. [entries] are those that no later batch replaced; [term] and [votedFor] are those of the last batch, and
+ * [validBytes] the length of the file without a torn write at its end.
+ */
+private data class StoredLog(
+    val term: Long?,
+    val votedFor: ReplicaIdentity?,
+    val entries: PersistentList<LogEntry>,
+    val validBytes: Long,
+    val fileBytes: Long,
+)
+
+private fun readLog(file: Path): Either<StorageError, StoredLog> = either {
+    var stored = StoredLog(null, null, persistentListOf(), 0, 0)
+    if (!file.exists()) return@either stored
+    var damage: StorageError? = null
+    val validBytes = readRecords(file) { content ->
+        decodeLogBatch(content).fold(
+            { damage = damage ?: FileCorrupted(file, 0, it.reason) },
+            { stored = stored.append(it) },
+        )
+    }.bind()
+    damage?.let { raise(it) }
+    stored.copy(validBytes = validBytes, fileBytes = catchIoErrors(file) { Files.size(file) }.bind())
+}
+
+private fun StoredLog.append(batch: LogBatch): StoredLog {
+    val kept = batch.entries.firstOrNull()?.let { first -> entries.removeFrom(first.index) } ?: entries
+    return copy(term = batch.term, votedFor = batch.votedFor, entries = kept.addAll(batch.entries))
+}
+
+/** Returns these entries without those from [index] on, which are at the end. */
+private fun PersistentList<LogEntry>.removeFrom(index: Long): PersistentList<LogEntry> {
+    val replaced = size - 1 - indexOfLast { it.index < index }
+    return if (replaced == 0) this else subList(0, size - replaced).toPersistentList()
 }
 
 private fun newestLogOrNull(path: Path): Path? =
     path.listDirectoryEntries("$LOG_PREFIX*").filter { !it.name.endsWith(TEMPORARY_SUFFIX) }.maxByOrNull { it.name }
 
 /** Returns the entries after [snapshot]. Those of an older log count only if its entry at the snapshot's index has the same term. */
-private fun List<LogBatch>.entriesAfter(snapshot: Snapshot, isCurrent: Boolean): List<LogEntry> {
-    val entries = flatMap { it.entries }
+private fun StoredLog.entriesAfter(snapshot: Snapshot, isCurrent: Boolean): List<LogEntry> {
     val isConsistent = isCurrent || entries.lastOrNull { it.index == snapshot.index }?.term == snapshot.term
     return if (isConsistent) entries.filter { it.index > snapshot.index } else emptyList()
 }
@@ -197,14 +238,24 @@
     FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE).also { syncDirectory(path.parent) }
 
 private fun writeSynced(folder: Path, name: String, bytes: ByteArray) {
+    writeSynced(folder, name, listOf { bytes })
+}
+
+/** Writes what [parts] return, one after the other, so that only one part is in memory; returns their length. */
+private fun writeSynced(folder: Path, name: String, parts: List<() -> ByteArray>): Long {
     val temporary = folder.resolve(name + TEMPORARY_SUFFIX)
-    FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING).use { file ->
-        val buffer = ByteBuffer.wrap(bytes)
-        while (buffer.hasRemaining()) file.write(buffer)
+    val options = setOf(StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)
+    val written = FileChannel.open(temporary, options).use { file ->
+        parts.forEach { part ->
+            val buffer = ByteBuffer.wrap(part())
+            while (buffer.hasRemaining()) file.write(buffer)
+        }
         file.force(true)
+        file.position()
     }
     Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
     syncDirectory(folder)
+    return written
 }
 
 private fun syncDirectory(folder: Path) = FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
--- a/process/src/main/kotlin/sniperoute/process/storage/Records.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/Records.kt
@@ -8,21 +8,19 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
+import java.io.EOFException
 import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
 import java.util.zip.CRC32C
 
 private const val RECORD_MAGIC = 0x534E5052
 private const val HEADER_BYTES = 12
 private const val MAX_RECORD_BYTES = 256 * 1024 * 1024
+private const val SEARCH_WINDOW_BYTES = 64 * 1024
 
 /** The records of a file are corrupt at [offset]. */
 public data class CorruptRecord(public val offset: Long, public val reason: String)
 
-/** The valid records of a file, which are its first [validBytes] bytes; the rest is a torn write. */
-public data class ReadRecords(public val contents: PersistentList<ByteArray>, public val validBytes: Long)
-
 /** Returns the record with [content]. */
 public fun recordOf(content: ByteArray): ByteArray {
     require(content.size <= MAX_RECORD_BYTES) { "a record of ${content.size} bytes is too large" }
@@ -35,36 +33,60 @@
         .array()
 }
 
-/** Returns the records in [bytes], or the position of the first corrupt one. */
-public fun readRecords(bytes: ByteArray): Either<CorruptRecord, ReadRecords> {
-    val contents = persistentListOf<ByteArray>().builder()
-    var offset = 0
-    while (offset < bytes.size) {
-        val content = contentAtOrNull(bytes, offset) ?: return checkTail(bytes, offset, contents.build())
-        contents += content
+/**
+ * Passes the content of each record of [file] to [onContent], one at a time, so that a long file is never in memory as a whole.
+ * Returns the length of the valid records, after which there may be a torn write, or the position of the first corrupt one.
+ *
+ * @throws java.io.IOException if the file can't be read
+ */
+public fun forEachRecord(file: FileChannel, onContent: (ByteArray) -> Unit): Either<CorruptRecord, Long> {
+    val size = file.size()
+    var offset = 0L
+    while (offset < size) {
+        val content = file.contentAtOrNull(offset, size) ?: return file.checkTail(offset, size)
+        onContent(content)
         offset += HEADER_BYTES + content.size
     }
-    return ReadRecords(contents.build(), offset.toLong()).right()
+    return offset.right()
+}
+
+private fun FileChannel.checkTail(offset: Long, size: Long): Either<CorruptRecord, Long> {
+    val nextValid = validRecordAfterOrNull(offset, size) ?: return offset.right()
+    return CorruptRecord(offset, "a damaged record is followed by a valid one at $nextValid").left()
 }
 
-private fun checkTail(bytes: ByteArray, offset: Int, contents: PersistentList<ByteArray>): Either<CorruptRecord, ReadRecords> {
-    val nextValid = (offset + 1..bytes.size - HEADER_BYTES).firstOrNull { contentAtOrNull(bytes, it) != null }
-    return if (nextValid == null) {
-        ReadRecords(contents, offset.toLong()).right()
-    } else {
-        CorruptRecord(offset.toLong(), "a damaged record is followed by a valid one at $nextValid").left()
+/** Returns the offset of the first valid record behind [offset]. The file is searched in windows that overlap by the magic number. */
+private fun FileChannel.validRecordAfterOrNull(offset: Long, size: Long): Long? {
+    var start = offset + 1
+    while (start <= size - HEADER_BYTES) {
+        val window = readAt(start, minOf(SEARCH_WINDOW_BYTES.toLong(), size - start).toInt())
+        val last = window.limit() - Int.SIZE_BYTES
+        for (position in 0..last) {
+            val candidate = start + position
+            if (window.getInt(position) == RECORD_MAGIC && contentAtOrNull(candidate, size) != null) return candidate
+        }
+        start += last + 1
     }
+    return null
 }
 
-private fun contentAtOrNull(bytes: ByteArray, offset: Int): ByteArray? {
-    if (bytes.size - offset < HEADER_BYTES) return null
-    val header = ByteBuffer.wrap(bytes, offset, HEADER_BYTES)
+private fun FileChannel.contentAtOrNull(offset: Long, size: Long): ByteArray? {
+    if (size - offset < HEADER_BYTES) return null
+    val header = readAt(offset, HEADER_BYTES)
     if (header.getInt() != RECORD_MAGIC) return null
     val length = header.getInt()
     val expected = header.getInt()
-    if (length < 0 || length > bytes.size - offset - HEADER_BYTES) return null
-    val content = bytes.copyOfRange(offset + HEADER_BYTES, offset + HEADER_BYTES + length)
+    if (length < 0 || length > size - offset - HEADER_BYTES) return null
+    val content = readAt(offset + HEADER_BYTES, length).array()
     return content.takeIf { checksum(it) == expected }
 }
 
+private fun FileChannel.readAt(offset: Long, length: Int): ByteBuffer {
+    val buffer = ByteBuffer.allocate(length)
+    while (buffer.hasRemaining()) {
+        if (read(buffer, offset + buffer.position()) < 0) throw EOFException("the file ends before offset ${offset + length}")
+    }
+    return buffer.flip()
+}
+
 private fun checksum(content: ByteArray): Int = CRC32C().apply { update(content) }.value.toInt()
--- a/process/src/main/kotlin/sniperoute/process/storage/StorageDuties.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/StorageDuties.kt
@@ -10,6 +10,7 @@
 import sniperoute.process.agreement.decision.PersistSnapshot
 import sniperoute.process.agreement.decision.SendMessageAfterSync
 import sniperoute.process.agreement.decision.Synced
+import sniperoute.process.agreement.decision.firstBatchSize
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.OnDutyFailure
 import sniperoute.process.duty.startDuty
@@ -47,17 +48,20 @@
 internal fun perform(effects: List<AgreementEffect>, handlers: StorageEffectHandlers) {
     var rest = effects
     while (rest.isNotEmpty()) {
-        val batch = rest.takeWhile { it !is PersistSnapshot }
-        if (batch.isNotEmpty()) writeBatch(batch, handlers)
-        val snapshot = rest.getOrNull(batch.size) as PersistSnapshot?
-        if (snapshot != null) {
-            retryUntilWritten(handlers) { handlers.replace(snapshot) }
-            handlers.onSynced(Synced(snapshot.log.lastIndex, snapshot.log.lastTerm))
-        }
-        rest = rest.drop(batch.size + 1)
+        val writes = rest.takeWhile { it !is PersistSnapshot }
+        val batch = writes.take(writes.firstBatchSize { it.commandBytes })
+        if (batch.isNotEmpty()) writeBatch(batch, handlers) else writeSnapshot(rest.first() as PersistSnapshot, handlers)
+        rest = rest.drop(maxOf(batch.size, 1))
     }
 }
 
+private val AgreementEffect.commandBytes: Int get() = if (this is Persist) entries.sumOf { it.commandBytes } else 0
+
+private fun writeSnapshot(snapshot: PersistSnapshot, handlers: StorageEffectHandlers) {
+    retryUntilWritten(handlers) { handlers.replace(snapshot) }
+    handlers.onSynced(Synced(snapshot.log.lastIndex, snapshot.log.lastTerm))
+}
+
 private fun writeBatch(effects: List<AgreementEffect>, handlers: StorageEffectHandlers) {
     val writes = effects.filterIsInstance<Persist>()
     writes.mergedOrNull()?.let { batch ->
--- a/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/AgreementDuties.kt
@@ -3,11 +3,11 @@
  */
 package sniperoute.control
 
-import sniperoute.control.codec.decodeEntries
-import sniperoute.control.codec.decodeSnapshot
 import sniperoute.control.decision.AgreementStatus
-import sniperoute.control.message.ControlInput
+import sniperoute.control.message.EncodedEntries
+import sniperoute.control.message.EncodedSnapshot
 import sniperoute.control.message.ProposalRejected
+import sniperoute.control.message.QueuedControlInput
 import sniperoute.process.agreement.decision.*
 import sniperoute.process.agreement.message.AgreementMessage
 import sniperoute.process.agreement.message.Membership
@@ -29,7 +29,7 @@
 /** The rings and functions that the effects of the agreement go to. */
 internal class AgreementEffectHandlers(
     val storage: Ring<AgreementEffect>,
-    val control: Ring<ControlInput>,
+    val control: Ring<QueuedControlInput>,
     val send: (ReplicaIdentity, AgreementMessage) -> Unit,
     val broadcast: (AgreementMessage) -> Unit,
     val onMembersChanged: (List<VmName>) -> Unit,
@@ -81,8 +81,8 @@
     is SendMessage -> send(effect.to, effect.message)
     is BroadcastMessage -> broadcast(effect.message)
     is AddKnownMembers -> addKnownMembers(effect.vms)
-    is ApplyEntries -> control.put(decodeEntries(effect.entries))
-    is RestoreSnapshot -> control.put(decodeSnapshot(effect.snapshot))
+    is ApplyEntries -> control.put(EncodedEntries(effect.entries))
+    is RestoreSnapshot -> control.put(EncodedSnapshot(effect.snapshot))
     is RejectProposal -> control.put(ProposalRejected(effect.proposal, effect.leader?.vm))
     is ReportRoleChange -> recorder.recordRole(effect)
     is ReportMembershipChange -> recorder.record(EventKind.MEMBERSHIP_CHANGED, detail = effect.membership.describe())
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
@@ -10,6 +10,7 @@
 import sniperoute.connection.endpoint.message.OnCallEvent
 import sniperoute.connection.http.Header
 import sniperoute.connection.http.HttpStatus
+import sniperoute.control.codec.decode
 import sniperoute.control.codec.encode
 import sniperoute.control.codec.loadCommandBody
 import sniperoute.control.codec.weightsOrNull
@@ -46,7 +47,7 @@
 
 /** The control duty as the rest of the process sees it: the agreement's [status], and the last state that the duty published. */
 public class ControlDuty internal constructor(
-    private val inbox: Ring<ControlInput>,
+    private val inbox: Ring<QueuedControlInput>,
     public val status: AtomicReference<AgreementStatus>,
     public val latestState: AtomicReference<ControlDutyState>,
 ) {
@@ -74,7 +75,7 @@
 /** Returns the running control duty. */
 @Suppress("LongParameterList")
 internal fun startControlDuty(
-    inbox: Ring<ControlInput>,
+    inbox: Ring<QueuedControlInput>,
     agreement: Ring<AgreementInput>,
     initial: ControlDutyState,
     status: AtomicReference<AgreementStatus>,
@@ -87,17 +88,20 @@
     val duty = ControlDuty(inbox, status, AtomicReference(initial))
     val handlers = ControlEffectHandlers(duty, inbox, agreement, links, endpoints, recorder)
     duty.duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
-        val step = state.step(status.get(), now, input)
-        duty.latestState.set(step.state)
-        step.effects.forEach(handlers::perform)
-        step.state
+        val inputs = input?.decode() ?: sequenceOf<ControlInput?>(null)
+        inputs.fold(state) { current, decoded ->
+            val step = current.step(status.get(), now, decoded)
+            duty.latestState.set(step.state)
+            step.effects.forEach(handlers::perform)
+            step.state
+        }
     }
     return duty
 }
 
 private class ControlEffectHandlers(
     private val duty: ControlDuty,
-    private val inbox: Ring<ControlInput>,
+    private val inbox: Ring<QueuedControlInput>,
     private val agreement: Ring<AgreementInput>,
     private val links: ControlLinks,
     private val endpoints: EndpointGateway,
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlLinks.kt
@@ -13,9 +13,9 @@
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.connection.peer.message.PeerRole
 import sniperoute.connection.peer.noReconnectingLinks
-import sniperoute.control.message.ControlInput
 import sniperoute.control.message.LedgerRequestReceived
 import sniperoute.control.message.LinkId
+import sniperoute.control.message.QueuedControlInput
 import sniperoute.control.message.ReplyAddress
 import sniperoute.control.message.RouterLinkClosed
 import sniperoute.control.message.RouterMessageReceived
@@ -49,7 +49,7 @@
 internal class ControlLinks(
     dial: DialVm,
     private val agreement: Ring<AgreementInput>,
-    private val control: Ring<ControlInput>,
+    private val control: Ring<QueuedControlInput>,
     private val recorder: EventRecorder,
 ) {
     private val dialedReplicas = ConcurrentHashMap<VmName, PeerLink>()
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -18,11 +18,11 @@
 import sniperoute.connection.peer.*
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.connection.peer.message.PeerRole
-import sniperoute.control.codec.decodeSnapshot
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.decision.FleetSettings
 import sniperoute.control.decision.newControlDutyState
-import sniperoute.control.message.ControlInput
+import sniperoute.control.message.EncodedSnapshot
+import sniperoute.control.message.QueuedControlInput
 import sniperoute.process.agreement.decision.*
 import sniperoute.process.agreement.message.Membership
 import sniperoute.process.agreement.message.ReplicaIdentity
@@ -141,7 +141,7 @@
     private val name = PeerName(identity.vm, PeerRole.REPLICA, newIncarnation(), identity.disk)
     private val agreementRing: Ring<AgreementInput> = ring("agreement", AGREEMENT_RING_CAPACITY)
     private val storageRing: Ring<AgreementEffect> = ring("storage", STORAGE_RING_CAPACITY)
-    private val controlRing: Ring<ControlInput> = ring("desk", CONTROL_RING_CAPACITY)
+    private val controlRing: Ring<QueuedControlInput> = ring("desk", CONTROL_RING_CAPACITY)
     private val onFailure = haltOnDutyFailure(recorder)
     private val network = newPeerNetwork()
     private val httpThreads = startHttpThreads(options.httpThreads)
@@ -160,7 +160,7 @@
     private val metrics = newMetricsRegistry()
 
     fun run() {
-        controlRing.put(decodeSnapshot(recovered.log.snapshot))
+        controlRing.put(EncodedSnapshot(recovered.log.snapshot))
         startStorage()
         startAgreementDuty(agreementRing, initial, agreementHandlers(), clock, onFailure)
         val controlDuty = newControlDuty()
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -121,7 +121,8 @@
 
 /**
  * The state of the control duty. [appliedIndex] is the last log entry that was applied to [replicatedState], [nextProposal] the number of
- * the next proposal, and [snapshotIndex] the log entry of the last snapshot. [leaderState] is `null` unless this replica leads.
+ * the next proposal, [snapshotIndex] the log entry of the last snapshot, and [bytesSinceSnapshot] the length of the commands after it.
+ * [leaderState] is `null` unless this replica leads.
  */
 public data class ControlDutyState(
     public val appliedIndex: Long,
@@ -130,6 +131,7 @@
     public val nextProposal: Long,
     public val snapshotIndex: Long,
     public val settings: FleetSettings = FleetSettings(),
+    public val bytesSinceSnapshot: Long = 0,
 )
 
 /**
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -22,6 +22,9 @@
 
 private const val ENTRIES_BETWEEN_SNAPSHOTS = 1_000
 
+/** Bounds the log in memory and on disk, and so what a restart has to read, when entries hold long configurations. */
+private const val BYTES_BETWEEN_SNAPSHOTS = 4L * 1024 * 1024
+
 /** Returns the next state and the effects of [input] at [now]; a `null` input is a tick. */
 public fun ControlDutyState.step(status: AgreementStatus, now: Timestamp, input: ControlInput?): ControlStep =
     followLeadership(status, now).then { it.handle(status, now, input) }
@@ -32,8 +35,7 @@
         input.entries
             .fold(
                 unchanged(),
-            ) { step, entry -> step.then { it.applyEntry(entry, now) } }
-            .then { it.takeSnapshotIfDue() }
+            ) { step, entry -> step.then { it.applyEntry(entry, now) }.then { it.takeSnapshotIfDue() } }
     is SnapshotRestored -> restore(input)
     is ProposalRejected -> onProposalRejected(input)
     is RouterMessageReceived -> onRouterMessage(input, status, now)
@@ -91,12 +93,13 @@
 
 private fun ControlDutyState.restore(input: SnapshotRestored): ControlStep {
     val restored = input.replicatedState ?: return copy(appliedIndex = input.index).unchanged()
-    return copy(appliedIndex = input.index, snapshotIndex = input.index, replicatedState = restored).unchanged()
+    return copy(appliedIndex = input.index, snapshotIndex = input.index, replicatedState = restored, bytesSinceSnapshot = 0).unchanged()
 }
 
 private fun ControlDutyState.takeSnapshotIfDue(): ControlStep {
-    if (appliedIndex - snapshotIndex < ENTRIES_BETWEEN_SNAPSHOTS) return unchanged()
-    return copy(snapshotIndex = appliedIndex).unchanged().emit(StoreSnapshot(appliedIndex, replicatedState))
+    val isDue = appliedIndex - snapshotIndex >= ENTRIES_BETWEEN_SNAPSHOTS || bytesSinceSnapshot >= BYTES_BETWEEN_SNAPSHOTS
+    if (!isDue) return unchanged()
+    return copy(snapshotIndex = appliedIndex, bytesSinceSnapshot = 0).unchanged().emit(StoreSnapshot(appliedIndex, replicatedState))
 }
 
 private fun ControlDutyState.applyEntry(entry: CommittedEntry, now: Timestamp): ControlStep {
@@ -104,7 +107,8 @@
     val command = entry.command ?: return copy(appliedIndex = entry.index).unchanged()
     val applied = replicatedState.apply(command, entry.index)
     val revisionBefore = replicatedState.published.revision
-    val next = copy(appliedIndex = entry.index, replicatedState = applied.state).recordEvents(command, applied)
+    val next = copy(appliedIndex = entry.index, replicatedState = applied.state, bytesSinceSnapshot = bytesSinceSnapshot + entry.bytes)
+        .recordEvents(command, applied)
     val answered = next.then { it.completeProposal(entry.proposal, applied.result, now) }
     return if (applied.state.published.revision > revisionBefore) answered.then { it.notifyRouters() } else answered
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/message/ControlInputs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/ControlInputs.kt
@@ -7,6 +7,8 @@
 import kotlinx.collections.immutable.PersistentList
 import sniperoute.control.decision.CommandResult
 import sniperoute.control.decision.ControlState
+import sniperoute.process.agreement.message.LogEntry
+import sniperoute.process.agreement.message.Snapshot
 import sniperoute.process.identity.VmName
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
@@ -35,11 +37,23 @@
 /** The link of a router, and the [correlation] by which it matches the reply to its request. */
 public data class ReplyAddress(public val link: LinkId, public val correlation: Long)
 
-/** An input of the control duty. */
-public sealed interface ControlInput
+/** An item of the control duty's ring. */
+public sealed interface QueuedControlInput
 
-/** A committed log entry: the [command] and its [proposal] number, or `null` for an entry that only the agreement uses. */
-public data class CommittedEntry(public val index: Long, public val proposal: Long, public val command: Command?)
+/** The agreement committed [entries], which the duty decodes one at a time, so that at most one of them is in memory twice. */
+public data class EncodedEntries(public val entries: PersistentList<LogEntry>) : QueuedControlInput
+
+/** The agreement installed [snapshot], which the duty decodes. */
+public class EncodedSnapshot(public val snapshot: Snapshot) : QueuedControlInput
+
+/** An input of the control duty's step. */
+public sealed interface ControlInput : QueuedControlInput
+
+/**
+ * A committed log entry: the [command] and its [proposal] number, or `null` for an entry that only the agreement uses. The command has
+ * [bytes] in the log.
+ */
+public data class CommittedEntry(public val index: Long, public val proposal: Long, public val command: Command?, public val bytes: Int = 0)
 
 /** The agreement committed [entries], in the order of their indexes. */
 public data class EntriesCommitted(public val entries: PersistentList<CommittedEntry>) : ControlInput
--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -192,6 +192,19 @@
         expectThat(leader.loads.loadCommandsAllowedFrom).isEqualTo(driver.now)
     }
 
+    /** Guards against a log without bound while a long configuration changes often. */
+    @Test
+    fun `long commands lead to a snapshot long before a thousand of them`() {
+        val driver = ControlDutyDriver()
+        val command = SubmitConfiguration(driver.now, 0, declarations().digest(), "o", declarations())
+        val snapshots = (1L..110)
+            .flatMap { index ->
+                driver.input(EntriesCommitted(persistentListOf(CommittedEntry(index, 0, command, bytes = 580_000))))
+            }.filterIsInstance<StoreSnapshot>()
+        val indexes = listOf(0L) + snapshots.map { it.index } + 110L
+        expectThat(indexes.zipWithNext { earlier, later -> later - earlier }.max()).isLessThanOrEqualTo(8)
+    }
+
     @Test
     fun `two submissions under one number, and a resend after a lost reply`() {
         val driver = ControlDutyDriver()
