Send entries between replicas in messages bounded in bytes

A replica that came back with an empty disk could not catch up while long configurations followed each other: up to 256 entries went in one message, however long, and a link gives up a frame that isn't read within 1.5 s.

--- a/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
+++ b/process/src/main/kotlin/sniperoute/process/agreement/decision/Replication.kt
@@ -65,7 +65,7 @@
     nextIndex > matchIndex + 1 && now - lastContact > settings.heartbeatInterval * UNRESPONSIVE_HEARTBEATS
 
 private fun AgreementState.sendEntries(member: ReplicaIdentity, progress: Progress, now: Timestamp): AgreementStep {
-    val entries = log.entriesFrom(progress.nextIndex, settings.maxEntriesPerMessage)
+    val entries = log.entriesFrom(progress.nextIndex, settings.maxEntriesPerMessage).firstBatch()
     val request = appendRequest(progress.nextIndex - 1, entries, now)
     val sent = progress.copy(nextIndex = progress.nextIndex + entries.size, entriesSentAt = now)
     return withProgress(member, sent).unchanged().emit(SendMessage(member, request))
--- a/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/AgreementPropertiesTest.kt
@@ -9,27 +9,35 @@
 import io.kotest.property.arbitrary.int
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
+import sniperoute.process.agreement.decision.AgreementSettings
 import sniperoute.process.agreement.decision.Follower
 import sniperoute.process.agreement.decision.Leader
+import sniperoute.process.agreement.decision.MAX_BATCH_BYTES
 import sniperoute.process.agreement.decision.Redundancy
 import sniperoute.process.agreement.decision.SendMessage
 import sniperoute.process.agreement.decision.Tick
 import sniperoute.process.agreement.decision.TransferLeadership
 import sniperoute.process.agreement.decision.redundancy
 import sniperoute.process.agreement.decision.step
+import sniperoute.process.agreement.message.AgreementMessage
 import sniperoute.process.agreement.message.AppendEntriesRequest
+import sniperoute.process.identity.VmName
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private const val LONG_COMMAND_BYTES = 40_000
+
 @OptIn(ExperimentalKotest::class)
 class AgreementPropertiesTest {
     private val names = listOf("a", "b", "c")
@@ -74,6 +82,28 @@
         expectThat(silent.state!!.log.lastIndex).isEqualTo(leader.state!!.log.lastIndex)
     }
 
+    /** Guards against a message of hundreds of long entries, which a link gives up before it is read. */
+    @Test
+    fun `an empty replica gets long entries in messages that are bounded in bytes`() {
+        val group = SimulatedGroup(names, Random(1), settings = AgreementSettings(names.map(::VmName).toPersistentSet()))
+        group.runFor(5.seconds) { group.isRedundant() }
+        repeat(60) {
+            group.propose(LONG_COMMAND_BYTES)
+            group.runFor(20.milliseconds)
+        }
+        val wiped = group.replicas.first { it !== group.leaderOrNull() }
+        group.loseDisk(wiped)
+        var longest = 0
+        group.runFor(10.seconds) {
+            longest = maxOf(longest, group.inFlight.maxOfOrNull { it.message.commandBytes() } ?: 0)
+            group.hasEveryDiskAsVoter()
+        }
+        expectThat(group.hasEveryDiskAsVoter()).isTrue()
+        expectThat(longest).isLessThanOrEqualTo(MAX_BATCH_BYTES)
+    }
+
+    private fun AgreementMessage.commandBytes(): Int = (this as? AppendEntriesRequest)?.entries.orEmpty().sumOf { it.commandBytes }
+
     @Test
     fun `no acknowledged entry is lost or changed by failures that lose only a minority of disks`() {
         runBlocking {
--- a/process/src/test/kotlin/sniperoute/process/agreement/SimulatedGroups.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/SimulatedGroups.kt
@@ -82,11 +82,11 @@
         start(replica)
     }
 
-    fun propose() {
+    /** Proposes a command of [bytes] to each replica that leads. */
+    fun propose(bytes: Int = 2) {
         lastProposal += 1
-        replicas.filter { it.state?.role is Leader && !it.isPaused }.forEach {
-            input(it, Propose(lastProposal, byteArrayOf(lastProposal.toByte(), (lastProposal shr Byte.SIZE_BITS).toByte())))
-        }
+        val command = byteArrayOf(lastProposal.toByte(), (lastProposal shr Byte.SIZE_BITS).toByte()).copyOf(bytes)
+        replicas.filter { it.state?.role is Leader && !it.isPaused }.forEach { input(it, Propose(lastProposal, command)) }
     }
 
     fun takeSnapshot(replica: SimulatedReplica) {
