Give collected responses of all requests one budget of bytes

Cause: each response that is collected before it is passed on was bounded by 16 MiB, their sum by nothing, in a heap of 96 MB. Now they share a quarter of the heap. One may hold as much as is still free, so greedy ones get equal parts and leave as much for others; what is longer fails its attempt as before. Error responses kept for a repeat count too. A metric shows what is held. Tests that wire a run get a budget without bound, as they had before.

--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -38,6 +38,7 @@
 import sniperoute.process.duty.OnDutyFailure
 import sniperoute.process.identity.VmName
 import sniperoute.process.identity.newIncarnation
+import sniperoute.process.memory.byteBudget
 import sniperoute.process.metrics.MetricsRegistry
 import sniperoute.process.metrics.counter
 import sniperoute.process.metrics.gauge
@@ -86,6 +87,9 @@
 private const val ROUTING_RING_CAPACITY = 16_384
 private const val SESSION_RING_CAPACITY = 8_192
 
+/** Responses that are collected before they are sent may hold one part in so many of the heap. */
+private const val BUFFERED_SHARE_OF_HEAP = 4
+
 /** Load balancers have noticed after this time that a router is not ready. */
 public val READINESS_LAG: Duration = 2_300.milliseconds
 private val DRAIN_CHECK_INTERVAL = 20.milliseconds
@@ -184,6 +188,7 @@
             list = options.listEndpoints(client, recorder),
         ),
     )
+    private val bufferedBytes = byteBudget(Runtime.getRuntime().maxMemory() / BUFFERED_SHARE_OF_HEAP)
     private val metrics = newMetricsRegistry()
     private val requests = metrics.counter("sniperoute_requests", "Requests that ended.", "route", "outcome")
     private val firstTokens = metrics.secondsHistogram("sniperoute_first_token_seconds", "Time to the first token.", "route")
@@ -194,6 +199,7 @@
         record = recorder::record,
         clock = clock,
         ended = ::ended,
+        bufferedBytes = bufferedBytes,
     )
     private lateinit var onCatalogue: OnCatalogue
     private lateinit var sessionDuty: Duty
@@ -236,6 +242,9 @@
     private fun watchMetrics() {
         listOf(routingRing, sessionRing).forEach(metrics::registerRing)
         metrics.gauge("sniperoute_requests_running", "Requests under way.") { runs.size.toDouble() }
+        metrics.gauge("sniperoute_buffered_bytes", "Bytes of responses that are collected before they are sent.") {
+            bufferedBytes.heldBytes.toDouble()
+        }
         metrics.gauge("sniperoute_known_pieces", "Cached pieces that this router knows of.") {
             routingState
                 .get()
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -24,6 +24,7 @@
 import sniperoute.connection.http.valueOrNull
 import sniperoute.process.clock.Clock
 import sniperoute.process.clock.Timestamp
+import sniperoute.process.memory.ByteBudget
 import sniperoute.process.timeline.RecordEvent
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
@@ -49,7 +50,7 @@
 /** Called at the end of a run; [firstToken] is the time at which the first content was received, `null` if there was none. */
 public typealias OnRunEnd = (run: RequestRun, outcome: Outcome, firstToken: Timestamp?) -> Unit
 
-/** The functions of the process that a run uses. */
+/** The functions of the process that a run uses, and the budget of the bytes that the buffered responses of all runs hold. */
 public class RequestRunDependencies(
     public val sendToRouting: SendToRouting,
     public val call: CallEndpoint,
@@ -57,6 +58,7 @@
     public val record: RecordEvent,
     public val clock: Clock,
     public val ended: OnRunEnd,
+    public val bufferedBytes: ByteBudget,
 )
 
 /**
@@ -87,11 +89,19 @@
     private val dependencies: RequestRunDependencies,
 ) {
     private var assembly = newAssembly(context.responseParser, admitted.route.isResumable)
+        set(next) {
+            countBufferedBytes(next.contentBytes - field.contentBytes)
+            field = next
+        }
     private var call: RunningCall? = null
     private var currentDispatch: Dispatch? = null
     private var sentAt = Timestamp.EARLIEST
     private var firstToken: Timestamp? = null
     private var faultResponse: SendResponse? = null
+        set(next) {
+            countBufferedBytes(next.length - field.length)
+            field = next
+        }
     private var cancelTimer: CancelTimer = {}
     private var mayHaveRun = false
     private var hasEnded = false
@@ -204,7 +214,7 @@
             if (event !is CallStalled) heldEvents = held.add(event)
         } else if (!hasEnded && currentDispatch === dispatch) {
             if (event is ResponseStarted) reportLoad(event.head)
-            val step = assembly.take(event)
+            val step = assembly.take(event, dependencies.bufferedBytes.limitOfHolder)
             if (step.assembly.progressCount > assembly.progressCount) call?.recordProgress()
             assembly = step.assembly
             step.effects.forEach { if (currentDispatch === dispatch) perform(it) }
@@ -280,6 +290,7 @@
         call = null
         recordFailure(failure)
         currentDispatch = null
+        assembly = assembly.nextAttempt()
         dependencies.sendToRouting(
             AttemptEnded(
                 admitted.id,
@@ -408,10 +419,16 @@
     private fun end(outcome: Outcome) {
         if (hasEnded) return
         hasEnded = true
+        assembly = assembly.nextAttempt()
+        faultResponse = null
         cancelTimer()
         dependencies.ended(this, outcome, firstToken)
     }
 
+    private val SendResponse?.length: Long get() = this?.content?.size?.toLong() ?: 0
+
+    private fun countBufferedBytes(change: Long) = dependencies.bufferedBytes.change(change)
+
     /** Runs [action] on the thread of the caller's connection. */
     public fun onThread(action: () -> Unit): Unit = exchange.onConnectionThread(action)
 
--- a/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/decision/Assemblies.kt
@@ -22,7 +22,7 @@
 import sniperoute.request.run.message.*
 
 /** The upper bound on bytes of a buffered response. */
-private const val MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+private const val MAX_BUFFERED_BYTES = 16L * 1024 * 1024
 
 /**
  * The state of a response.
@@ -136,10 +136,11 @@
         else -> AnswerProgress.NONE
     }
 
-/** Returns the assembly after [event] of the current attempt. */
-public fun Assembly.take(event: CallEvent): AssemblyStep = when (event) {
+/** Returns the assembly after [event] of the current attempt; a buffered response may have up to [maxBufferedBytes]. */
+public fun Assembly.take(event: CallEvent, maxBufferedBytes: Long = MAX_BUFFERED_BYTES): AssemblyStep = when (event) {
     is ResponseStarted -> onHead(event.head)
-    is ContentReceived -> if (isStream) onStreamContent(event.bytes) else onBufferedContent(event.bytes)
+    is ContentReceived ->
+        if (isStream) onStreamContent(event.bytes) else onBufferedContent(event.bytes, minOf(maxBufferedBytes, MAX_BUFFERED_BYTES))
     is CallCompleted -> if (isStream) onStreamEnd() else onBufferedEnd()
     is CallFailed -> if (isStream && isDone) emit(EndStream) else fail(event.failure.toAttemptFailureKind(), event.reason)
     is CallStalled -> AssemblyStep(this, persistentListOf(ReportStall(mayRepeat, event.reason)))
@@ -234,9 +235,9 @@
 /** Whether only the end of the connection ended the stream, and no event came before it: the endpoint has not answered. */
 private fun Assembly.endsWithoutEvent(): Boolean = delivered == deliveredBefore && head?.isFramed == false
 
-private fun Assembly.onBufferedContent(bytes: ByteArray): AssemblyStep {
+private fun Assembly.onBufferedContent(bytes: ByteArray, maxBytes: Long): AssemblyStep {
     val total = contentBytes + bytes.size
-    if (total > MAX_BUFFERED_BYTES) return fail(AttemptFailureKind.WRONG, "the response is longer than $MAX_BUFFERED_BYTES bytes")
+    if (total > maxBytes) return fail(AttemptFailureKind.WRONG, "the response is longer than $maxBytes bytes")
     val first = if (contentBytes == 0L) persistentListOf<AssemblyEffect>(ReportFirstToken) else persistentListOf()
     return AssemblyStep(copy(content = content.add(bytes), contentBytes = total), first)
 }
--- a/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -9,6 +9,7 @@
 import sniperoute.connection.http.*
 import sniperoute.process.identity.VmName
 import sniperoute.process.identity.newIncarnation
+import sniperoute.process.memory.byteBudget
 import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.routing.message.*
 import sniperoute.request.run.RequestContext
@@ -88,6 +89,7 @@
             record = { _, _, _ -> },
             clock = { start },
             ended = { _, _, _ -> },
+            bufferedBytes = byteBudget(Long.MAX_VALUE),
         ),
     )
 
--- a/request/src/test/kotlin/sniperoute/request/SilentEndpointTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/SilentEndpointTest.kt
@@ -14,6 +14,7 @@
 import sniperoute.process.identity.FailureDomain
 import sniperoute.process.identity.VmName
 import sniperoute.process.identity.newIncarnation
+import sniperoute.process.memory.byteBudget
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.routing.decision.*
@@ -97,6 +98,7 @@
             record = { _, _, _ -> },
             clock = clock,
             ended = { run, _, _ -> runs.remove(run.admitted.id) },
+            bufferedBytes = byteBudget(Long.MAX_VALUE),
         )
         private val callers = threads.serve("127.0.0.1", 0, handle = ::receive)
 
