End a process whose memory has run out

Cause: the failure handler of duties records and logs before it halts, which needs memory and failed itself; errors in threads of the transport library only ended their task.

On the code before, a process whose duty met the error was still there after ten seconds (MemoryExhaustionTest); now it ends with status 1.

--- a/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
+++ b/programs/common/src/main/kotlin/sniperoute/common/Programs.kt
@@ -128,9 +128,15 @@
 
 private val logger = KotlinLogging.logger("sniperoute")
 
-/** Returns the failure handler of all duties, which halts the process: it can't work correctly with a duty missing. */
+/**
+ * Returns the failure handler of all duties, which halts the process: it can't work correctly with a duty missing. The process ends also
+ * when there is no memory left to record the failure.
+ */
 public fun haltOnDutyFailure(recorder: EventRecorder): OnDutyFailure = { name, failure ->
-    recorder.record(EventKind.DUTY_FAILED, detail = "$name: $failure")
-    logger.error(failure) { "${EventKind.DUTY_FAILED.number} duty $name failed; the process ends" }
-    Runtime.getRuntime().halt(ExitStatus.FAILURE)
+    try {
+        recorder.record(EventKind.DUTY_FAILED, detail = "$name: $failure")
+        logger.error(failure) { "${EventKind.DUTY_FAILED.number} duty $name failed; the process ends" }
+    } finally {
+        Runtime.getRuntime().halt(ExitStatus.FAILURE)
+    }
 }
