Hold each request to the limits in force when it begins

Cause: the decoder, the collector of bodies and the timeout for heads had the limits of the time when the connection opened. Now the collector is replaced before a request that begins under another limit, heads are checked against the limits in force after they are decoded, and the timeout is read at each head. A connection whose decoder is too small for the limits in force ends with its next response.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -35,8 +35,12 @@
 /** A request and what handles it. */
 private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange)
 
+/** The longest initial line and headers, in bytes, that the decoder of a connection accepts. */
+internal data class DecodedHeadBytes(val initialLine: Int, val headers: Int)
+
 internal class CallerConnection(
     private val currentLimits: CurrentLimits,
+    private val decoded: DecodedHeadBytes,
     private val isClosing: IsClosing,
     private val handle: HandleExchange,
 ) : SimpleChannelInboundHandler<HttpRequest>() {
@@ -50,18 +54,23 @@
 
     override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
         if (isEnding) return
+        val limits = currentLimits()
         val failure = request.decoderResult().cause()
         when {
             failure != null -> refuse(request, statusOf(failure), "the request cannot be parsed: ${failure.message}")
+            request.initialLineBytes() > limits.initialLineBytes ->
+                refuse(request, HttpResponseStatus.REQUEST_URI_TOO_LONG, "the initial line is longer than ${limits.initialLineBytes} bytes")
+            request.headerBytes() > limits.headerBytes ->
+                refuse(request, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the headers have over ${limits.headerBytes} bytes")
             request !is FullHttpRequest -> refuseBody(request)
             request.protocolVersion() !in supportedVersions ->
                 refuse(request, HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
             !request.hasValidHost() -> refuse(request, HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
-            queued.size >= currentLimits().maxPipelinedRequests ->
+            queued.size >= limits.maxPipelinedRequests ->
                 refuse(request, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
             else -> accept(request, request.toBytes(), handle)
         }
-        watchIdleness(currentLimits().idleTimeout)
+        watchIdleness(limits.idleTimeout)
         startNext()
     }
 
@@ -81,7 +90,13 @@
     private fun accept(request: HttpRequest, body: ByteArray, handle: HandleExchange) {
         val asksToKeepAlive = HttpUtil.isKeepAlive(request)
         isEnding = !asksToKeepAlive
-        enqueue(request, body, handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing())) }
+        enqueue(request, body, handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing() || isOutgrown())) }
+    }
+
+    /** Whether heads are allowed now that the decoder of this connection doesn't accept. */
+    private fun isOutgrown(): Boolean {
+        val limits = currentLimits()
+        return limits.initialLineBytes > decoded.initialLine || limits.headerBytes > decoded.headers
     }
 
     /** Where the caller may keep the connection, it stays open, so that the refusal isn't lost while the body is still being sent. */
@@ -186,6 +201,14 @@
     return hosts == 1 || (hosts == 0 && protocolVersion() == HttpVersion.HTTP_1_0)
 }
 
+/** The bytes between the parts of an initial line, and between the name and the value of a header. */
+private const val SEPARATOR_BYTES = 2
+
+private fun HttpRequest.initialLineBytes(): Int =
+    method().name().length + uri().length + protocolVersion().text().length + SEPARATOR_BYTES
+
+private fun HttpRequest.headerBytes(): Int = headers().sumOf { it.key.length + it.value.length + SEPARATOR_BYTES }
+
 private fun statusOf(failure: Throwable): HttpResponseStatus = when (failure) {
     is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
--- a/connection/src/main/kotlin/sniperoute/connection/http/HeadTimeouts.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HeadTimeouts.kt
@@ -15,10 +15,10 @@
 internal data object HeadTimedOut
 
 /**
- * Fires [HeadTimedOut] when a head is not complete [timeout] after its first byte. [bytes] belongs before the decoder in the
- * pipeline, and [messages] after it.
+ * Fires [HeadTimedOut] when a head is not complete in time after its first byte, when [currentTimeout] is read. [bytes] belongs before
+ * the decoder in the pipeline, and [messages] after it.
  */
-internal class HeadTimeout(private val timeout: Duration) {
+internal class HeadTimeout(private val currentTimeout: () -> Duration) {
     private var timer: Future<*>? = null
     private var isInBody = false
 
@@ -28,7 +28,7 @@
                 timer =
                     context.executor().schedule(
                         { context.fireUserEventTriggered(HeadTimedOut) },
-                        timeout.inWholeMilliseconds,
+                        currentTimeout().inWholeMilliseconds,
                         TimeUnit.MILLISECONDS,
                     )
             }
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -28,10 +28,17 @@
 
 private const val DEFAULT_BODY_BYTES = 8 * 1024 * 1024
 
+/**
+ * A decoder accepts at least this much of a head, so that the limit may be raised during its life. The limit in force is checked once the
+ * head is decoded.
+ */
+private const val MIN_DECODED_HEAD_BYTES = 64 * 1024
+
 /**
  * Limits on the requests of a caller: sizes in bytes, and the number of pipelined requests that may wait on a connection. A connection
- * without a request in progress is closed when nothing was received or sent for [idleTimeout], as it is in force then. A connection is
- * also closed when the head of a request is not complete [headTimeout] after its first byte.
+ * without a request in progress is closed when nothing was received or sent for [idleTimeout]. A connection is also closed when the head
+ * of a request is not complete [headTimeout] after its first byte. Each request is held to the limits in force when it begins, also on a
+ * connection that was opened under other ones.
  */
 public data class HttpLimits(
     public val initialLineBytes: Int = 8_192,
@@ -42,7 +49,7 @@
     public val headTimeout: Duration = 10.seconds,
 )
 
-/** Returns the limits for a connection that opens now. */
+/** Returns the limits that are in force now. */
 public typealias CurrentLimits = () -> HttpLimits
 
 /** Returns whether connections should be closed after the response to their current request. */
@@ -118,18 +125,24 @@
         override fun initChannel(channel: SocketChannel) {
             connections.add(channel)
             val limits = currentLimits()
-            val headTimeout = HeadTimeout(limits.headTimeout)
+            val headTimeout = HeadTimeout { currentLimits().headTimeout }
+            val decoded = DecodedHeadBytes(
+                initialLine = maxOf(limits.initialLineBytes, MIN_DECODED_HEAD_BYTES),
+                headers = maxOf(limits.headerBytes, MIN_DECODED_HEAD_BYTES),
+            )
             val decoderConfig = HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.initialLineBytes)
-                .setMaxHeaderSize(limits.headerBytes)
-            val connection = CallerConnection(currentLimits, isClosing, handle)
+                .setMaxInitialLineLength(decoded.initialLine)
+                .setMaxHeaderSize(decoded.headers)
+            val connection = CallerConnection(currentLimits, decoded, isClosing, handle)
+            val aggregatorSwitch = AggregatorSwitch(currentLimits, connection::hasRequest)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 headTimeout.bytes,
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
                 idleStateHandler(limits.idleTimeout),
-                RequestAggregator(limits.bodyBytes, connection::hasRequest),
+                aggregatorSwitch,
+                aggregatorSwitch.firstAggregator(),
                 connection,
             )
         }
--- a/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
@@ -5,6 +5,7 @@
 package sniperoute.connection.http
 
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMessage
@@ -12,6 +13,27 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 
+/**
+ * Puts a [RequestAggregator] for the limit in force behind itself before each request that begins under another one. It belongs directly
+ * before the aggregator.
+ */
+internal class AggregatorSwitch(private val currentLimits: CurrentLimits, private val isResponding: () -> Boolean) :
+    ChannelInboundHandlerAdapter() {
+    private var maxBytes = currentLimits().bodyBytes
+
+    /** Returns the aggregator for the limit that is in force when the connection opens. */
+    fun firstAggregator(): RequestAggregator = RequestAggregator(maxBytes, isResponding)
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val inForce = currentLimits().bodyBytes
+        if (message is HttpRequest && inForce != maxBytes) {
+            maxBytes = inForce
+            context.pipeline().replace(RequestAggregator::class.java, null, RequestAggregator(inForce, isResponding))
+        }
+        context.fireChannelRead(message)
+    }
+}
+
 internal class RequestAggregator(maxBytes: Int, private val isResponding: () -> Boolean) : HttpObjectAggregator(maxBytes, true) {
     override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
         val request = oversized as HttpRequest
