Test disks that are full one after another

A report of other operators: changes stay refused or unanswered long after the last full disk had room again. It passes on the code as it is, so the agreement does not show the report. It fails when the writes behind a failed one are dropped (tried by hand).

--- a/process/src/test/kotlin/sniperoute/process/agreement/SimulatedGroups.kt
+++ b/process/src/test/kotlin/sniperoute/process/agreement/SimulatedGroups.kt
@@ -17,12 +17,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+private val WRITE_RETRY_INTERVAL = 200.milliseconds
+
 internal data class SimulatedDisk(val identity: ReplicaIdentity, val term: Long, val votedFor: ReplicaIdentity?, val log: ReplicaLog)
 
 internal class SimulatedReplica(var disk: SimulatedDisk) {
     var state: AgreementState? = null
     var unsynced: PersistentList<AgreementEffect> = persistentListOf()
     var isPaused = false
+    var isDiskFull = false
+    var nextWriteAttempt = Timestamp.EARLIEST
     val vm: VmName get() = disk.identity.vm
 }
 
@@ -132,6 +136,7 @@
 
     fun sync(replica: SimulatedReplica, count: Int = Int.MAX_VALUE) {
         if (replica.state == null || replica.isPaused) return
+        if (replica.isDiskFull) return failWrite(replica)
         val effects = replica.unsynced.take(count)
         replica.unsynced = replica.unsynced.drop(effects.size).toPersistentList()
         effects.forEach { effect ->
@@ -147,6 +152,13 @@
         }
     }
 
+    /** As the storage duty does, reports a failed write and tries again after a pause; what waits behind it is not sent. */
+    private fun failWrite(replica: SimulatedReplica) {
+        if (replica.unsynced.none { it !is SendMessageAfterSync } || now < replica.nextWriteAttempt) return
+        replica.nextWriteAttempt = now + WRITE_RETRY_INTERVAL
+        input(replica, DiskWriteFailed)
+    }
+
     private fun persist(replica: SimulatedReplica, effect: Persist) {
         val log = effect.entries.fold(replica.disk.log) { log, entry -> log.truncateFrom(entry.index).append(entry) }
         replica.disk = replica.disk.copy(term = effect.term, votedFor = effect.votedFor, log = log)
