Test that no request is lost while limits change between reads

Forty connections with up to eleven pipelined requests each, cut at random, and limits that change after each write: all are answered in turn.

--- a/connection/src/test/kotlin/sniperoute/connection/ChangedLimitsTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/ChangedLimitsTest.kt
@@ -7,12 +7,15 @@
 import org.junit.jupiter.api.Test
 import sniperoute.connection.http.*
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.contains
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import java.io.BufferedReader
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val HIGHER_LIMIT = 100_000
@@ -84,6 +87,31 @@
         expectThat(send(get(10))).contains("connection: close")
     }
 
+    /** Guards against a request that gets neither an answer nor a refusal beside a change of the configuration. */
+    @Test
+    fun `every pipelined request is answered in turn while the limits change between reads`() {
+        val random = Random(23)
+        repeat(40) {
+            val lengths = List(random.nextInt(1, 12)) { listOf(10, 900, LONG_BODY).random(random) }
+            val bytes = lengths.joinToString("", transform = ::post).toByteArray()
+            Socket("127.0.0.1", port).use { socket ->
+                socket.soTimeout = 5_000
+                val reader = socket.getInputStream().bufferedReader()
+                var sent = 0
+                while (sent < bytes.size) {
+                    val count = minOf(random.nextInt(1, 60_000), bytes.size - sent)
+                    socket.getOutputStream().write(bytes, sent, count)
+                    sent += count
+                    limits.set(smallLimits.copy(bodyBytes = listOf(1_000, HIGHER_LIMIT).random(random)))
+                }
+                val statuses = lengths.map { statusOf(reader.response()) }
+                val short = lengths.zip(statuses).filter { (length, _) -> length < LONG_BODY }
+                expectThat(short.map { it.second }).all { isEqualTo(200) }
+                expectThat(statuses - setOf(200, 413)).isEmpty()
+            }
+        }
+    }
+
     @Test
     fun `the head timeout in force applies to a kept connection`() {
         Socket("127.0.0.1", port).use { socket ->
