Sort the routes once for all changes of a reply

A reply with a whole configuration removed, added and sorted the routes anew for each of them, on the thread that keeps the session to control. Found while looking for a request that ends without an answer beside a change; whether it is the cause is not shown.

--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -48,15 +48,32 @@
 public fun Catalogue.advance(reply: RenewReply): Catalogue {
     if (reply.revision < revision) return this
     val base = if (reply.isWhole) emptyCatalogue() else this
-    return reply.changes.fold(base, Catalogue::apply).copy(revision = reply.revision, configuration = reply.configuration)
+    return reply.changes
+        .fold(base, Catalogue::apply)
+        .copy(routes = base.routes.changedBy(reply.changes), revision = reply.revision, configuration = reply.configuration)
 }
 
+/** Returns these routes with [changes] applied. They are sorted once for all changes, since a configuration may have thousands. */
+private fun PersistentList<Route>.changedBy(changes: List<ItemChange>): PersistentList<Route> {
+    val changed = changes.filter { it.name.kind == ItemKind.ROUTE }
+    if (changed.isEmpty()) return this
+    val byName = associateByTo(mutableMapOf()) { it.name }
+    changed.forEach { change ->
+        when (val item = change.item) {
+            is RouteItem -> byName[item.route.name] = item.route
+            else -> byName.remove(RouteName(change.name.text))
+        }
+    }
+    return byName.values.longestPathFirst()
+}
+
+/** Returns this catalogue with [change] applied, unless it is one of a route: those are applied together. */
 private fun Catalogue.apply(change: ItemChange): Catalogue = when (val item = change.item) {
     null -> remove(change.name)
     is WorkspaceItem -> copy(workspaces = workspaces.put(item.workspace.name, item.workspace))
     is KeyItem -> copy(keys = keys.put(item.key.digest, item.key))
     is ServiceItem -> copy(services = services.put(item.service.name, item.service))
-    is RouteItem -> copy(routes = routes.without(item.route.name).add(item.route).longestPathFirst())
+    is RouteItem -> this
     is MoveItem -> copy(moves = moves.put(item.move.service, item.move))
     is QuarantineItem -> copy(quarantine = quarantine.add(item.digest))
     is BlockQuarantineItem -> copy(blockQuarantines = blockQuarantines.put(item.name.text, item.blocks.toPersistentSet()))
@@ -68,7 +85,7 @@
     ItemKind.WORKSPACE -> copy(workspaces = workspaces.remove(WorkspaceName(name.text)))
     ItemKind.KEY -> copy(keys = keys.remove(KeyDigest(name.text)))
     ItemKind.SERVICE -> copy(services = services.remove(ServiceName(name.text)))
-    ItemKind.ROUTE -> copy(routes = routes.without(RouteName(name.text)))
+    ItemKind.ROUTE -> this
     ItemKind.MOVE -> copy(moves = moves.remove(ServiceName(name.text)))
     ItemKind.QUARANTINE -> copy(quarantine = quarantine.remove(RequestDigest(name.text)))
     ItemKind.BLOCK_QUARANTINE -> copy(blockQuarantines = blockQuarantines.remove(name.text))
@@ -76,9 +93,7 @@
     ItemKind.MODEL_WEIGHTS -> copy(weights = weights.remove(ModelName(name.text)))
 }
 
-private fun PersistentList<Route>.without(name: RouteName): PersistentList<Route> = removeAll { it.name == name }
-
-private fun PersistentList<Route>.longestPathFirst(): PersistentList<Route> =
+private fun Collection<Route>.longestPathFirst(): PersistentList<Route> =
     sortedWith(compareByDescending<Route> { it.path.length }.thenBy { it.name }).toPersistentList()
 
 /** Returns the route with the longest path prefix that matches [path] at [host], or `null`. */
