--- a/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/RequestAggregators.kt
@@ -25,13 +25,17 @@
     fun firstAggregator(): RequestAggregator = RequestAggregator(maxBytes, isResponding)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        val inForce = currentLimits().bodyBytes
-        if (message is HttpRequest && inForce != maxBytes) {
-            maxBytes = inForce
-            context.pipeline().replace(RequestAggregator::class.java, null, RequestAggregator(inForce, isResponding))
-        }
+        if (message is HttpRequest) replaceIfChanged(context)
         context.fireChannelRead(message)
     }
+
+    /** The aggregator holds nothing between the end of a request and the beginning of the next one. */
+    private fun replaceIfChanged(context: ChannelHandlerContext) {
+        val inForce = currentLimits().bodyBytes
+        if (inForce == maxBytes) return
+        maxBytes = inForce
+        context.pipeline().replace(RequestAggregator::class.java, null, RequestAggregator(inForce, isResponding))
+    }
 }
 
 internal class RequestAggregator(maxBytes: Int, private val isResponding: () -> Boolean) : HttpObjectAggregator(maxBytes, true) {
--- a/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/DataFolders.kt
@@ -166,14 +166,13 @@
 }
 
 private fun singleRecord(file: Path): Either<StorageError, ByteArray> = either {
-    val contents = mutableListOf<ByteArray>()
-    val validBytes = readRecords(file) { contents += it }.bind()
-    contents.singleOrNull() ?: raise(FileCorrupted(file, validBytes, "its only record is damaged"))
+    val records = foldFile(file, persistentListOf<ByteArray>()) { contents, content -> contents.add(content) }.bind()
+    records.result.singleOrNull() ?: raise(FileCorrupted(file, records.validBytes, "its only record is damaged"))
 }
 
-private fun readRecords(file: Path, onContent: (ByteArray) -> Unit): Either<StorageError, Long> =
-    catchIoErrors(file) { FileChannel.open(file, StandardOpenOption.READ).use { forEachRecord(it, onContent) } }
-        .flatMap { read -> read.mapLeft { FileCorrupted(file, it.offset, it.reason) } }
+private fun <S> foldFile(file: Path, initial: S, step: (S, ByteArray) -> S): Either<StorageError, FoldedRecords<S>> =
+    catchIoErrors(file) { FileChannel.open(file, StandardOpenOption.READ).use { foldRecords(it, initial, step) } }
+        .flatMap { folded -> folded.mapLeft { FileCorrupted(file, it.offset, it.reason) } }
 
 /**
  * The content of a log file. [entries] are those that no later batch replaced; [term] and [votedFor] are those of the last batch, and
@@ -188,17 +187,14 @@
 )
 
 private fun readLog(file: Path): Either<StorageError, StoredLog> = either {
-    var stored = StoredLog(null, null, persistentListOf(), 0, 0)
-    if (!file.exists()) return@either stored
-    var damage: StorageError? = null
-    val validBytes = readRecords(file) { content ->
-        decodeLogBatch(content).fold(
-            { damage = damage ?: FileCorrupted(file, 0, it.reason) },
-            { stored = stored.append(it) },
-        )
+    val empty = StoredLog(null, null, persistentListOf(), 0, 0)
+    if (!file.exists()) return@either empty
+    val start: Either<StorageError, StoredLog> = empty.right()
+    val records = foldFile(file, start) { read, content ->
+        read.flatMap { log -> decodeLogBatch(content).mapLeft { FileCorrupted(file, 0, it.reason) }.map(log::append) }
     }.bind()
-    damage?.let { raise(it) }
-    stored.copy(validBytes = validBytes, fileBytes = catchIoErrors(file) { Files.size(file) }.bind())
+    val fileBytes = catchIoErrors(file) { Files.size(file) }.bind()
+    records.result.bind().copy(validBytes = records.validBytes, fileBytes = fileBytes)
 }
 
 private fun StoredLog.append(batch: LogBatch): StoredLog {
--- a/process/src/main/kotlin/sniperoute/process/storage/Records.kt
+++ b/process/src/main/kotlin/sniperoute/process/storage/Records.kt
@@ -33,25 +33,27 @@
         .array()
 }
 
+/** What [foldRecords] made of a file: its [result], and the length of the valid records; the rest is a torn write. */
+public data class FoldedRecords<S>(public val result: S, public val validBytes: Long)
+
 /**
- * Passes the content of each record of [file] to [onContent], one at a time, so that a long file is never in memory as a whole.
- * Returns the length of the valid records, after which there may be a torn write, or the position of the first corrupt one.
+ * Returns the result of [step] for the content of each record of [file], one at a time, so that a long file is never in memory as a whole;
+ * or the position of the first corrupt record.
  *
  * @throws java.io.IOException if the file can't be read
  */
-public fun forEachRecord(file: FileChannel, onContent: (ByteArray) -> Unit): Either<CorruptRecord, Long> {
+public fun <S> foldRecords(file: FileChannel, initial: S, step: (S, ByteArray) -> S): Either<CorruptRecord, FoldedRecords<S>> {
     val size = file.size()
-    var offset = 0L
-    while (offset < size) {
-        val content = file.contentAtOrNull(offset, size) ?: return file.checkTail(offset, size)
-        onContent(content)
-        offset += HEADER_BYTES + content.size
+    var folded = FoldedRecords(initial, 0)
+    while (folded.validBytes < size) {
+        val content = file.contentAtOrNull(folded.validBytes, size) ?: return file.checkTail(folded.validBytes, size).map { folded }
+        folded = FoldedRecords(step(folded.result, content), folded.validBytes + HEADER_BYTES + content.size)
     }
-    return offset.right()
+    return folded.right()
 }
 
-private fun FileChannel.checkTail(offset: Long, size: Long): Either<CorruptRecord, Long> {
-    val nextValid = validRecordAfterOrNull(offset, size) ?: return offset.right()
+private fun FileChannel.checkTail(offset: Long, size: Long): Either<CorruptRecord, Unit> {
+    val nextValid = validRecordAfterOrNull(offset, size) ?: return Unit.right()
     return CorruptRecord(offset, "a damaged record is followed by a valid one at $nextValid").left()
 }
 
--- a/process/src/test/kotlin/sniperoute/process/storage/LongLogsTest.kt
+++ b/process/src/test/kotlin/sniperoute/process/storage/LongLogsTest.kt
@@ -92,8 +92,9 @@
         val entries = (8L..47).map { entry(it, 100_000) }.toPersistentList()
         val log = replicaLog(Snapshot(7, 1, Membership(persistentListOf()), ByteArray(3)), entries)
         expectThat(open().folder.replace(1, null, log).isRight()).isEqualTo(true)
-        val sizes = mutableListOf<Int>()
-        FileChannel.open(folder.listDirectoryEntries("log-*").single()).use { file -> forEachRecord(file) { sizes += it.size } }
+        val sizes = FileChannel.open(folder.listDirectoryEntries("log-*").single()).use { file ->
+            foldRecords(file, emptyList<Int>()) { sizes, content -> sizes + content.size }.fold({ error(it.reason) }, { it.result })
+        }
         expectThat(sizes).all { isLessThanOrEqualTo(MAX_BATCH_BYTES + RECORD_OVERHEAD_BYTES) }
         expectThat(
             open()
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -90,7 +90,7 @@
 ) {
     private var assembly = newAssembly(context.responseParser, admitted.route.isResumable)
         set(next) {
-            countBufferedBytes(next.contentBytes - field.contentBytes)
+            dependencies.bufferedBytes.change(next.contentBytes - field.contentBytes)
             field = next
         }
     private var call: RunningCall? = null
@@ -99,7 +99,7 @@
     private var firstToken: Timestamp? = null
     private var faultResponse: SendResponse? = null
         set(next) {
-            countBufferedBytes(next.length - field.length)
+            dependencies.bufferedBytes.change(next.length - field.length)
             field = next
         }
     private var cancelTimer: CancelTimer = {}
@@ -427,8 +427,6 @@
 
     private val SendResponse?.length: Long get() = this?.content?.size?.toLong() ?: 0
 
-    private fun countBufferedBytes(change: Long) = dependencies.bufferedBytes.change(change)
-
     /** Runs [action] on the thread of the caller's connection. */
     public fun onThread(action: () -> Unit): Unit = exchange.onConnectionThread(action)
 
--- a/request/src/test/kotlin/sniperoute/request/EndlessResponsesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/EndlessResponsesTest.kt
@@ -7,16 +7,10 @@
 import org.junit.jupiter.api.Test
 import sniperoute.connection.endpoint.message.*
 import sniperoute.connection.http.*
-import sniperoute.process.identity.VmName
-import sniperoute.process.identity.newIncarnation
 import sniperoute.process.memory.byteBudget
-import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.routing.message.*
-import sniperoute.request.run.RequestContext
 import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RequestRunDependencies
-import sniperoute.request.run.codec.jsonResponseParser
-import sniperoute.request.run.codec.nativeProtocol
 import sniperoute.request.run.requestRun
 import sniperoute.version.message.*
 import strikt.api.expectThat
@@ -43,15 +37,7 @@
 
         private fun newRun(number: Int) = requestRun(
             admitted("$number"),
-            RequestContext(
-                responseParser = jsonResponseParser(ServiceKind.PLAIN, wantsStream = false),
-                protocol = nativeProtocol(),
-                wantsStream = false,
-                cacheSalt = 0,
-                ledgerKey = null,
-                owner = LedgerOwner(VmName("vm"), newIncarnation(), "$number"),
-                configuration = 1,
-            ),
+            plainContext("$number", wantsStream = false),
             this,
             RequestRunDependencies(
                 sendToRouting = { true },
--- a/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -7,15 +7,9 @@
 import org.junit.jupiter.api.Test
 import sniperoute.connection.endpoint.message.*
 import sniperoute.connection.http.*
-import sniperoute.process.identity.VmName
-import sniperoute.process.identity.newIncarnation
 import sniperoute.process.memory.byteBudget
-import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.routing.message.*
-import sniperoute.request.run.RequestContext
 import sniperoute.request.run.RequestRunDependencies
-import sniperoute.request.run.codec.jsonResponseParser
-import sniperoute.request.run.codec.nativeProtocol
 import sniperoute.request.run.requestRun
 import sniperoute.version.message.*
 import strikt.api.expectThat
@@ -61,15 +55,7 @@
 
     private fun run(isConnected: Boolean = true) = requestRun(
         admitted("1"),
-        RequestContext(
-            responseParser = jsonResponseParser(ServiceKind.PLAIN, wantsStream = true),
-            protocol = nativeProtocol(),
-            wantsStream = true,
-            cacheSalt = 0,
-            ledgerKey = null,
-            owner = LedgerOwner(VmName("vm"), newIncarnation(), "1"),
-            configuration = 1,
-        ),
+        plainContext("1", wantsStream = true),
         PlayedExchange(isConnected),
         RequestRunDependencies(
             sendToRouting = sent::add,
--- a/request/src/test/kotlin/sniperoute/request/Samples.kt
+++ b/request/src/test/kotlin/sniperoute/request/Samples.kt
@@ -7,10 +7,16 @@
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.identity.FailureDomain
+import sniperoute.process.identity.VmName
+import sniperoute.process.identity.newIncarnation
 import sniperoute.request.admission.decision.ServingView
+import sniperoute.request.ledger.message.LedgerOwner
 import sniperoute.request.prefix.decision.contentHash
 import sniperoute.request.routing.decision.*
 import sniperoute.request.routing.message.*
+import sniperoute.request.run.RequestContext
+import sniperoute.request.run.codec.jsonResponseParser
+import sniperoute.request.run.codec.nativeProtocol
 import sniperoute.version.decision.advance
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.message.*
@@ -101,3 +107,14 @@
 
     fun breakOff(id: String, mayRepeat: Boolean = true) = end(id, AttemptFailed(AttemptFailureKind.BROKEN, mayRepeat, "broken"))
 }
+
+/** The context of a request to a plain service without a ledger entry. */
+internal fun plainContext(id: String, wantsStream: Boolean) = RequestContext(
+    responseParser = jsonResponseParser(ServiceKind.PLAIN, wantsStream),
+    protocol = nativeProtocol(),
+    wantsStream = wantsStream,
+    cacheSalt = 0,
+    ledgerKey = null,
+    owner = LedgerOwner(VmName("vm"), newIncarnation(), id),
+    configuration = 1,
+)
--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -11,6 +11,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import sniperoute.version.message.*
 
@@ -57,11 +58,10 @@
 private fun PersistentList<Route>.changedBy(changes: List<ItemChange>): PersistentList<Route> {
     val changed = changes.filter { it.name.kind == ItemKind.ROUTE }
     if (changed.isEmpty()) return this
-    val byName = associateByTo(mutableMapOf()) { it.name }
-    changed.forEach { change ->
+    val byName = changed.fold(associateBy { it.name }.toPersistentMap()) { routes, change ->
         when (val item = change.item) {
-            is RouteItem -> byName[item.route.name] = item.route
-            else -> byName.remove(RouteName(change.name.text))
+            is RouteItem -> routes.put(item.route.name, item.route)
+            else -> routes.remove(RouteName(change.name.text))
         }
     }
     return byName.values.longestPathFirst()
