Run links between own processes on Netty, whose writers wait

Cause: the socket library's writer calls write again and again while a socket takes nothing (a loop around a write that returns 0, read in the byte code of ktor-network 3.5.2). What writing was suspended for (a peer that sends nothing) only hid the case of a peer that sends but doesn't read.

Change: links run on Netty, as callers' and endpoints' connections do. What waits to be sent stays in the link's bounded queue until the connection is writable; its event loop sleeps meanwhile. The handshake is a chain of pure steps, the times of a link are a decision of their own, and the receive timeout counts from the last bytes, not from the last whole frame, so a long frame over a slow link arrives. Frames are kept on the heap and handed to the socket in parts. ktor and its second thread pool are gone.

--- a/connection/src/main/kotlin/sniperoute/connection/peer/Handshakes.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/Handshakes.kt
@@ -1,5 +1,6 @@
 /**
  * The handshake of a link: a mutual challenge-response, in which both sides prove that they know the dialer's secret without sending it.
+ * Each side is a chain of steps, which do no input or output themselves.
  */
 package sniperoute.connection.peer
 
@@ -7,12 +8,6 @@
 import arrow.core.raise.Raise
 import arrow.core.raise.either
 import arrow.core.raise.ensure
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
 import kotlinx.serialization.KSerializer
 import sniperoute.connection.peer.codec.LinkCiphers
 import sniperoute.connection.peer.codec.hmacOf
@@ -29,7 +24,9 @@
 import java.security.SecureRandom
 
 private const val NONCE_BYTES = 32
-private const val MAX_MESSAGE_BYTES = 4_096
+
+/** The longest message of a handshake. */
+internal const val MAX_HANDSHAKE_BYTES: Int = 4_096
 
 /** The reason why a link was refused. */
 public data class LinkRefused(public val reason: String)
@@ -49,72 +46,89 @@
  */
 public data object AddressAuthentication : PeerAuthentication
 
-/** The byte channels of an open connection. */
-internal class LinkChannels(val input: ByteReadChannel, val output: ByteWriteChannel, val remoteHost: String)
-
 /** The authenticated peer, and the ciphers for the frames that follow. */
 internal class HandshakeResult(val peer: PeerName, val ciphers: LinkCiphers)
 
-/** Performs the dialer's side of the handshake, for a link from [self] to a process on [expected]. */
-internal suspend fun LinkChannels.dial(
-    self: PeerName,
-    expected: VmName,
-    authentication: PeerAuthentication,
-): Either<LinkRefused, HandshakeResult> = either {
+/** Returns the step that follows a message of the peer, or why the link is refused. */
+internal typealias OnHandshakeMessage = (ByteArray) -> Either<LinkRefused, HandshakeStep>
+
+/**
+ * A step of a handshake: the [message] to send, if any, and either the [result], when the handshake is complete, or what follows the next
+ * message of the peer.
+ */
+internal class HandshakeStep private constructor(
+    val message: ByteArray?,
+    val result: HandshakeResult?,
+    val onMessage: OnHandshakeMessage,
+) {
+    companion object {
+        fun awaiting(message: ByteArray?, onMessage: OnHandshakeMessage) = HandshakeStep(message, null, onMessage)
+
+        fun completed(message: ByteArray?, result: HandshakeResult) =
+            HandshakeStep(message, result) { error("a completed handshake has no further messages") }
+    }
+}
+
+/** Returns the first step of the dialer's side, for a link from [self] to a process on [expected]. */
+internal fun dialerHandshake(self: PeerName, expected: VmName, authentication: PeerAuthentication): HandshakeStep {
     val hello = LinkHello.serializer().encodeToBytes(LinkHello(self, nonce()))
-    writeMessage(hello)
-    val challengeBytes = readMessage()
-    val challenge = decode(LinkChallenge.serializer(), challengeBytes)
-    ensure(challenge.name.vm == expected) { LinkRefused("${challenge.name.vm} answered in place of $expected") }
-    if (authentication !is SharedSecretAuthentication) return@either HandshakeResult(challenge.name, plaintextCiphers())
-    val secret = authentication.own
-    val challengeWithoutProof = LinkChallenge.serializer().encodeToBytes(LinkChallenge(challenge.name, challenge.nonce, ByteArray(0)))
-    ensure(MessageDigest.isEqual(challenge.proof, hmacOf(secret, "listener", hello, challengeWithoutProof))) {
-        LinkRefused("the listener at $expected doesn't know the secret")
+    return HandshakeStep.awaiting(hello) { challengeBytes ->
+        either {
+            val challenge = decode(LinkChallenge.serializer(), challengeBytes)
+            ensure(challenge.name.vm == expected) { LinkRefused("${challenge.name.vm} answered in place of $expected") }
+            if (authentication !is SharedSecretAuthentication) {
+                return@either HandshakeStep.completed(null, HandshakeResult(challenge.name, plaintextCiphers()))
+            }
+            val secret = authentication.own
+            val withoutProof = LinkChallenge.serializer().encodeToBytes(LinkChallenge(challenge.name, challenge.nonce, ByteArray(0)))
+            ensure(MessageDigest.isEqual(challenge.proof, hmacOf(secret, "listener", hello, withoutProof))) {
+                LinkRefused("the listener at $expected doesn't know the secret")
+            }
+            val proof = LinkProof.serializer().encodeToBytes(LinkProof(hmacOf(secret, "dialer", hello, challengeBytes)))
+            val ciphers = linkCiphers(secret, hello, challengeBytes, isDialer = true)
+            HandshakeStep.completed(proof, HandshakeResult(challenge.name, ciphers))
+        }
     }
-    writeMessage(LinkProof.serializer().encodeToBytes(LinkProof(hmacOf(secret, "dialer", hello, challengeBytes))))
-    HandshakeResult(challenge.name, linkCiphers(secret, hello, challengeBytes, isDialer = true))
 }
 
-/** Performs the listener's side of the handshake. */
-internal suspend fun LinkChannels.accept(
-    self: PeerName,
-    authentication: PeerAuthentication,
-): Either<LinkRefused, HandshakeResult> = either {
-    val helloBytes = readMessage()
-    val hello = decode(LinkHello.serializer(), helloBytes)
-    if (authentication !is SharedSecretAuthentication) {
-        ensure(hello.name.vm.text == remoteHost) { LinkRefused("$remoteHost claims to be ${hello.name.vm}") }
-        writeMessage(LinkChallenge.serializer().encodeToBytes(LinkChallenge(self, nonce(), ByteArray(0))))
-        return@either HandshakeResult(hello.name, plaintextCiphers())
+/** Returns the first step of the listener's side, for a connection from [remoteHost]. */
+internal fun listenerHandshake(self: PeerName, remoteHost: String, authentication: PeerAuthentication): HandshakeStep =
+    HandshakeStep.awaiting(null) { helloBytes ->
+        either {
+            val hello = decode(LinkHello.serializer(), helloBytes)
+            if (authentication is SharedSecretAuthentication) {
+                return@either challenge(self, hello, helloBytes, authentication)
+            }
+            ensure(hello.name.vm.text == remoteHost) { LinkRefused("$remoteHost claims to be ${hello.name.vm}") }
+            val message = LinkChallenge.serializer().encodeToBytes(LinkChallenge(self, nonce(), ByteArray(0)))
+            HandshakeStep.completed(message, HandshakeResult(hello.name, plaintextCiphers()))
+        }
     }
+
+private fun Raise<LinkRefused>.challenge(
+    self: PeerName,
+    hello: LinkHello,
+    helloBytes: ByteArray,
+    authentication: SharedSecretAuthentication,
+): HandshakeStep {
     val secret = authentication.secretOf(hello.name.vm) ?: raise(LinkRefused("no secret is known for ${hello.name.vm}"))
     val nonce = nonce()
-    val challengeWithoutProof = LinkChallenge.serializer().encodeToBytes(LinkChallenge(self, nonce, ByteArray(0)))
-    val challenge = LinkChallenge(self, nonce, hmacOf(secret, "listener", helloBytes, challengeWithoutProof))
+    val withoutProof = LinkChallenge.serializer().encodeToBytes(LinkChallenge(self, nonce, ByteArray(0)))
+    val challenge = LinkChallenge(self, nonce, hmacOf(secret, "listener", helloBytes, withoutProof))
     val challengeBytes = LinkChallenge.serializer().encodeToBytes(challenge)
-    writeMessage(challengeBytes)
-    val proof = decode(LinkProof.serializer(), readMessage()).proof
-    ensure(MessageDigest.isEqual(proof, hmacOf(secret, "dialer", helloBytes, challengeBytes))) {
-        LinkRefused("${hello.name.vm} doesn't know its secret")
+    return HandshakeStep.awaiting(challengeBytes) { proofBytes ->
+        either {
+            val proof = decode(LinkProof.serializer(), proofBytes).proof
+            ensure(MessageDigest.isEqual(proof, hmacOf(secret, "dialer", helloBytes, challengeBytes))) {
+                LinkRefused("${hello.name.vm} doesn't know its secret")
+            }
+            val ciphers = linkCiphers(secret, helloBytes, challengeBytes, isDialer = false)
+            HandshakeStep.completed(null, HandshakeResult(hello.name, ciphers))
+        }
     }
-    HandshakeResult(hello.name, linkCiphers(secret, helloBytes, challengeBytes, isDialer = false))
 }
 
 private fun nonce(): ByteArray = ByteArray(NONCE_BYTES).also { SecureRandom().nextBytes(it) }
 
 private fun <T> Raise<LinkRefused>.decode(serializer: KSerializer<T>, bytes: ByteArray): T =
     serializer.decodeFromBytes(bytes).fold({ raise(LinkRefused("the handshake message cannot be decoded: ${it.reason}")) }, { it })
-
-private suspend fun LinkChannels.writeMessage(bytes: ByteArray) {
-    output.writeInt(bytes.size)
-    output.writeByteArray(bytes)
-    output.flush()
-}
-
-context(raise: Raise<LinkRefused>)
-private suspend fun LinkChannels.readMessage(): ByteArray {
-    val size = input.readInt()
-    raise.ensure(size in 1..MAX_MESSAGE_BYTES) { LinkRefused("a handshake message has $size bytes, not 1 to $MAX_MESSAGE_BYTES") }
-    return input.readByteArray(size)
-}
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerLinks.kt
@@ -1,87 +1,88 @@
 /**
- * Links between processes of the fleet over Ktor sockets: encrypted frames in order, heartbeats when there is nothing to send, and a
- * receive timeout, which ends half-open links.
+ * Links between processes of the fleet: envelopes in order over a connection, as encrypted frames, with heartbeats when there is nothing
+ * to send and a receive timeout, which ends half-open links.
  */
 package sniperoute.connection.peer
 
-import arrow.core.Either
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.network.sockets.toJavaAddress
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.ByteToMessageDecoder
+import io.netty.handler.codec.CorruptedFrameException
+import io.netty.handler.codec.DecoderException
+import io.netty.util.concurrent.Future
 import sniperoute.connection.peer.codec.LinkCiphers
+import sniperoute.connection.peer.decision.LinkTimes
+import sniperoute.connection.peer.decision.RECEIVE_TIMEOUT
+import sniperoute.connection.peer.decision.hasTimedOut
+import sniperoute.connection.peer.decision.isHeartbeatDue
+import sniperoute.connection.peer.decision.mayWrite
+import sniperoute.connection.peer.decision.untilNextCheck
 import sniperoute.connection.peer.message.Envelope
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.process.codec.decodeFromBytes
 import sniperoute.process.codec.encodeToBytes
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.LongAdder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
-/** When there has been nothing to send for this long, an empty frame is sent as a heartbeat. */
-private val HEARTBEAT_INTERVAL = 500.milliseconds
-
-/** When nothing has been received for this long, the link ends. It also limits the handshake and the reading of one frame. */
-internal val RECEIVE_TIMEOUT: Duration = 1_500.milliseconds
-
-/**
- * When nothing has been received for this long, writing is suspended until the peer sends again, which it does at least every
- * [HEARTBEAT_INTERVAL]. Otherwise the writer would be busy with data that an unreachable peer does not read.
- */
-internal val WRITE_SUSPENSION_DELAY: Duration = 700.milliseconds
-
 private const val MAX_FRAME_BYTES = 256 * 1024 * 1024
 private const val OUTBOX_CAPACITY = 4_096
 
+/** A longer frame is handed to the socket in parts, each of which takes so much direct memory. */
+private const val MAX_WRITE_BYTES = 64 * 1024
+
 /** An open link to [peer]. */
-public class PeerLink internal constructor(public val peer: PeerName) {
-    internal val outbox = Channel<Envelope>(OUTBOX_CAPACITY)
+public class PeerLink internal constructor(public val peer: PeerName, private val channel: Channel) {
+    private val outbox = ArrayBlockingQueue<Envelope>(OUTBOX_CAPACITY)
     private val refusedEnvelopes = LongAdder()
+    private val isWriteRequested = AtomicBoolean()
+
+    @Volatile
+    private var isClosed = false
 
     /** The number of envelopes that [send] refused. */
     public val refused: Long get() = refusedEnvelopes.sum()
 
-    /** Queues [envelope], which is sent unless the link ends before, or returns `false` when the queue is full or closed. */
+    /** Queues [envelope], which is sent unless the link ends before, or returns `false` when the queue is full or the link closed. */
     public fun send(envelope: Envelope): Boolean {
-        val isAccepted = outbox.trySend(envelope).isSuccess
-        if (!isAccepted) refusedEnvelopes.increment()
+        val isAccepted = !isClosed && outbox.offer(envelope)
+        if (isAccepted) requestWrite() else refusedEnvelopes.increment()
         return isAccepted
     }
 
-    /** Ends the link. */
+    /** Ends the link once the queued envelopes were sent. */
     public fun close() {
-        outbox.close()
+        isClosed = true
+        requestWrite()
     }
-}
-
-/** The time of the last frame that was received on a link. */
-private class LastReceived {
-    private val updates = Channel<Unit>(Channel.CONFLATED)
 
-    @Volatile
-    private var time = TimeSource.Monotonic.markNow()
+    private fun requestWrite() {
+        if (!isWriteRequested.compareAndSet(false, true)) return
+        channel.eventLoop().execute { channel.pipeline().get(PeerConnection::class.java)?.writeQueued() }
+    }
 
-    fun update() {
-        time = TimeSource.Monotonic.markNow()
-        updates.trySend(Unit)
+    /** Returns the next queued envelope, or `null` when there is none. Envelopes that are queued after that request another write. */
+    internal fun pollOrNull(): Envelope? {
+        isWriteRequested.set(false)
+        return outbox.poll()
     }
 
-    /** Suspends until a frame was received within the last [WRITE_SUSPENSION_DELAY]. */
-    suspend fun awaitRecent() {
-        while (time.elapsedNow() > WRITE_SUSPENSION_DELAY) updates.receive()
+    /** Whether the link was closed and everything before was polled. */
+    internal val isFinished: Boolean get() = isClosed && outbox.isEmpty()
+
+    internal fun discardQueued() {
+        isClosed = true
+        outbox.clear()
     }
 }
 
@@ -93,92 +94,165 @@
     public val onRefused: (LinkRefused) -> Unit,
 )
 
-/** Performs the handshake, then runs the link until it ends. */
-internal suspend fun Socket.runLink(
-    handshake: suspend LinkChannels.() -> Either<LinkRefused, HandshakeResult>,
-    handlers: PeerHandlers,
-) {
-    val remoteHost = (remoteAddress.toJavaAddress() as InetSocketAddress).address.hostAddress
-    val channels = LinkChannels(openReadChannel(), openWriteChannel(autoFlush = false), remoteHost)
-    val outcome = withTimeoutOrNull(RECEIVE_TIMEOUT) { channels.handshake() }
-    outcome?.fold(
-        ifLeft = handlers.onRefused,
-        ifRight = { result -> channels.exchangeFrames(result, handlers, this) },
-    ) ?: handlers.onRefused(LinkRefused("the handshake timed out"))
+/** Decodes frames: a length of four bytes, then as many bytes. Until the peer is authenticated, only short ones are accepted. */
+internal class FrameDecoder : ByteToMessageDecoder() {
+    private var maxBytes = MAX_HANDSHAKE_BYTES
+
+    fun acceptLongFrames() {
+        maxBytes = MAX_FRAME_BYTES
+    }
+
+    override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+        if (input.readableBytes() < Int.SIZE_BYTES) return
+        val size = input.getInt(input.readerIndex())
+        if (size !in 1..maxBytes) throw CorruptedFrameException("$size bytes, not 1 to $maxBytes")
+        if (input.readableBytes() < Int.SIZE_BYTES + size) return
+        input.skipBytes(Int.SIZE_BYTES)
+        output += ByteArray(size).also { input.readBytes(it) }
+    }
 }
 
-private suspend fun LinkChannels.exchangeFrames(handshake: HandshakeResult, handlers: PeerHandlers, socket: Socket) {
-    val link = PeerLink(handshake.peer)
-    val lastReceived = LastReceived()
-    handlers.onOpened(link)
-    val reason = try {
-        coroutineScope {
-            val writer = launch { writeFrames(link, handshake.ciphers, lastReceived) }
-            writer.invokeOnCompletion { socket.close() }
-            readFrames(link, handshake.ciphers, handlers, lastReceived) ?: endTimedOut(link, writer)
+/** Starts the handshake of a connection to a process at the host. */
+internal typealias StartHandshake = (remoteHost: String) -> HandshakeStep
+
+/** Performs the handshake, then runs the link until it ends. It is used on the thread of its connection only. */
+internal class PeerConnection(
+    private val startHandshake: StartHandshake,
+    private val handlers: PeerHandlers,
+    private val decoder: FrameDecoder,
+) : ChannelInboundHandlerAdapter() {
+    private val opened = TimeSource.Monotonic.markNow()
+    private lateinit var channel: Channel
+    private lateinit var handshake: HandshakeStep
+    private lateinit var nextCheck: Future<*>
+    private var link: PeerLink? = null
+    private var ciphers: LinkCiphers? = null
+    private var times = LinkTimes()
+    private var hasEnded = false
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        channel = context.channel()
+        nextCheck = channel.eventLoop().schedule(::endTimedOutHandshake, RECEIVE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        proceed(startHandshake((channel.remoteAddress() as InetSocketAddress).address.hostAddress))
+    }
+
+    private fun endTimedOutHandshake() {
+        if (link == null) refuse("the handshake timed out")
+    }
+
+    private fun proceed(step: HandshakeStep) {
+        handshake = step
+        step.message?.let {
+            writeFrame(it)
+            channel.flush()
         }
-    } catch (failure: IOException) {
-        failure.message ?: failure.javaClass.simpleName
-    } finally {
-        link.close()
+        step.result?.let(::open)
     }
-    handlers.onClosed(link, reason)
-}
 
-private suspend fun LinkChannels.writeFrames(link: PeerLink, ciphers: LinkCiphers, lastReceived: LastReceived) {
-    while (true) {
-        val next = withTimeoutOrNull(HEARTBEAT_INTERVAL) { link.outbox.receiveCatching() }
-        if (next != null && next.isClosed) return
-        lastReceived.awaitRecent()
-        var content = next?.getOrNull()?.let { Envelope.serializer().encodeToBytes(it) } ?: ByteArray(0)
-        while (true) {
-            val frame = ciphers.encrypt(content)
-            output.writeInt(frame.size)
-            output.writeByteArray(frame)
-            content = link.outbox
-                .tryReceive()
-                .getOrNull()
-                ?.let { Envelope.serializer().encodeToBytes(it) } ?: break
+    private fun open(result: HandshakeResult) {
+        nextCheck.cancel(false)
+        decoder.acceptLongFrames()
+        times = LinkTimes(received = opened.elapsedNow(), sent = opened.elapsedNow())
+        ciphers = result.ciphers
+        val newLink = PeerLink(result.peer, channel)
+        link = newLink
+        handlers.onOpened(newLink)
+        scheduleCheck()
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (hasEnded) return
+        val frame = message as ByteArray
+        val open = link ?: return handshake.onMessage(frame).fold({ refuse(it.reason) }, ::proceed)
+        val content = checkNotNull(ciphers) { "an open link has ciphers" }.decryptOrNull(frame)
+            ?: return refuse("${open.peer.vm}: a frame was altered, replayed or lost")
+        if (content.isEmpty()) return
+        Envelope.serializer().decodeFromBytes(content).fold(
+            { refuse("${open.peer.vm}: a frame contains no envelope") },
+            { handlers.onReceived(open, it) },
+        )
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (link == null) return
+        val wasSuspended = !times.mayWrite(opened.elapsedNow())
+        times = times.copy(received = opened.elapsedNow())
+        if (wasSuspended) writeQueued()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext): Unit = writeQueued()
+
+    /** Writes what is queued, as far as the connection takes it now; it goes on when the connection becomes writable again. */
+    fun writeQueued() {
+        val open = link
+        if (open == null || hasEnded || !channel.isWritable || !times.mayWrite(opened.elapsedNow())) return
+        var hasWritten = false
+        while (channel.isWritable) {
+            val envelope = open.pollOrNull() ?: break
+            writeContent(Envelope.serializer().encodeToBytes(envelope))
+            hasWritten = true
         }
-        output.flush()
+        if (hasWritten) channel.flush()
+        if (open.isFinished) channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
-}
 
-/** Reads frames until one is invalid, and returns the reason, or `null` when nothing was received for [RECEIVE_TIMEOUT]. */
-private suspend fun LinkChannels.readFrames(
-    link: PeerLink,
-    ciphers: LinkCiphers,
-    handlers: PeerHandlers,
-    lastReceived: LastReceived,
-): String? {
-    while (true) {
-        val frame = withTimeoutOrNull(RECEIVE_TIMEOUT) { readFrame() } ?: return null
-        lastReceived.update()
-        val content = ciphers.decryptOrNull(frame) ?: return refuse(link, handlers, "a frame was altered, replayed or lost")
-        if (content.isEmpty()) continue
-        val envelope =
-            Envelope.serializer().decodeFromBytes(content).getOrNull() ?: return refuse(link, handlers, "a frame contains no envelope")
-        handlers.onReceived(link, envelope)
+    private fun writeContent(content: ByteArray) {
+        writeFrame(checkNotNull(ciphers) { "an open link has ciphers" }.encrypt(content))
+        times = times.copy(sent = opened.elapsedNow())
     }
-}
 
-/** Ends a link after the receive timeout. Unsent data is discarded: an unreachable peer never reads it, so the socket would not close. */
-private fun LinkChannels.endTimedOut(link: PeerLink, writer: Job): String {
-    val reason = "nothing was received for $RECEIVE_TIMEOUT"
-    link.close()
-    writer.cancel()
-    output.cancel(IOException(reason))
-    return reason
-}
+    private fun writeFrame(frame: ByteArray) {
+        channel.write(Unpooled.buffer(Int.SIZE_BYTES).writeInt(frame.size))
+        for (start in frame.indices step MAX_WRITE_BYTES) {
+            channel.write(Unpooled.wrappedBuffer(frame, start, minOf(MAX_WRITE_BYTES, frame.size - start)))
+        }
+    }
 
-private fun refuse(link: PeerLink, handlers: PeerHandlers, reason: String): String {
-    link.close()
-    handlers.onRefused(LinkRefused("${link.peer.vm}: $reason"))
-    return reason
-}
+    private fun scheduleCheck() {
+        val delay = times.untilNextCheck(opened.elapsedNow()).coerceAtLeast(MIN_CHECK_DELAY)
+        nextCheck = channel.eventLoop().schedule(::check, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun check() {
+        val now = opened.elapsedNow()
+        when {
+            hasEnded -> return
+            times.hasTimedOut(now) -> return end("nothing was received for $RECEIVE_TIMEOUT")
+            times.isHeartbeatDue(now) && channel.isWritable -> {
+                writeContent(ByteArray(0))
+                channel.flush()
+            }
+        }
+        scheduleCheck()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext): Unit = end("the peer closed the connection")
+
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        val invalidFrame = (cause as? DecoderException)?.let { it.cause as? CorruptedFrameException ?: it as? CorruptedFrameException }
+        when {
+            invalidFrame != null && link == null -> refuse("a handshake message has ${invalidFrame.message}")
+            invalidFrame != null -> end("a frame has ${invalidFrame.message}")
+            cause is IOException -> end(cause.message ?: cause.javaClass.simpleName)
+            else -> refuse("the link failed: $cause")
+        }
+    }
+
+    private fun refuse(reason: String) {
+        if (!hasEnded) handlers.onRefused(LinkRefused(reason))
+        end(reason)
+    }
 
-private suspend fun LinkChannels.readFrame(): ByteArray {
-    val size = input.readInt()
-    if (size !in 1..MAX_FRAME_BYTES) throw IOException("a frame has $size bytes, not 1 to $MAX_FRAME_BYTES")
-    return withTimeout(RECEIVE_TIMEOUT) { input.readByteArray(size) }
+    private fun end(reason: String) {
+        if (hasEnded) return
+        hasEnded = true
+        if (::nextCheck.isInitialized) nextCheck.cancel(false)
+        channel.close()
+        val open = link ?: return
+        open.discardQueued()
+        handlers.onClosed(open, reason)
+    }
 }
+
+/** A check that is due sooner is made after this time. */
+private val MIN_CHECK_DELAY: Duration = 1.milliseconds
--- a/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/peer/PeerNetworks.kt
@@ -1,76 +1,107 @@
 /**
- * Listens for links and dials them, on a small fixed pool of named threads.
+ * Listens for links and dials them, on a few named threads.
  */
 package sniperoute.connection.peer
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.aSocket
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import sniperoute.connection.endpoint.HostNameResolvers
+import sniperoute.connection.endpoint.codec.toSocketAddressOrNull
+import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.peer.message.PeerName
 import sniperoute.process.duty.namedThreads
 import sniperoute.process.identity.VmName
-import java.io.IOException
-import java.util.concurrent.Executors
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private const val THREADS = 3
-private val MIN_DIAL_BACKOFF = 50.milliseconds
-private val MAX_DIAL_BACKOFF = 500.milliseconds
-private val CONNECT_TIMEOUT = 1_000.milliseconds
+private val MIN_DIAL_BACKOFF: Duration = 50.milliseconds
+private val MAX_DIAL_BACKOFF: Duration = 500.milliseconds
+private val CONNECT_TIMEOUT: Duration = 1_000.milliseconds
 
 /** The address at which a process of the fleet listens for links. */
 public data class PeerAddress(public val vm: VmName, public val host: String, public val port: Int)
 
 /** The threads on which all links of a process run. */
 public class PeerNetwork internal constructor() {
-    private val executor = Executors.newFixedThreadPool(THREADS, namedThreads("peer"))
-    private val dispatcher = executor.asCoroutineDispatcher()
-    internal val selector = SelectorManager(dispatcher)
-    internal val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    internal val group = MultiThreadIoEventLoopGroup(THREADS, namedThreads("peer"), NioIoHandler.newFactory())
+    internal val hostNames = HostNameResolvers()
 
     /** Ends all links and stops the threads. */
     public fun close() {
-        scope.cancel()
-        selector.close()
-        executor.shutdownNow()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(2, TimeUnit.SECONDS)
     }
 }
 
 /** Returns a network without links. */
 public fun newPeerNetwork(): PeerNetwork = PeerNetwork()
 
+/** Frames may be long. They are kept on the heap, which bounds them better than the direct memory that calls share. */
+private val frameAllocator = UnpooledByteBufAllocator(false)
+
 /**
  * Listens at [host] and [port] for links to [self].
  *
- * @throws IOException if the address cannot be bound
+ * @throws java.io.IOException if the address cannot be bound
  */
 public fun PeerNetwork.listen(self: PeerName, host: String, port: Int, authentication: PeerAuthentication, handlers: PeerHandlers) {
-    val listener = runBlocking { aSocket(selector).tcp().bind(InetSocketAddress(host, port)) { reuseAddress = true } }
-    scope.launch {
-        while (true) {
-            val socket = listener.accept()
-            launch {
-                isolateFailures(handlers) { socket.use { it.runLink({ accept(self, authentication) }, handlers) } }
-            }
-        }
+    ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOCATOR, frameAllocator)
+        .childHandler(linkPipeline({ remoteHost -> listenerHandshake(self, remoteHost, authentication) }, handlers))
+        .bind(host, port)
+        .sync()
+}
+
+private fun linkPipeline(startHandshake: StartHandshake, handlers: PeerHandlers) = object : ChannelInitializer<SocketChannel>() {
+    override fun initChannel(channel: SocketChannel) {
+        val decoder = FrameDecoder()
+        channel.pipeline().addLast(decoder, PeerConnection(startHandshake, handlers, decoder))
     }
 }
 
 /** A link that is dialed again whenever it ends. */
-public class ReconnectingLink internal constructor(private val job: Job) {
+public class ReconnectingLink internal constructor(private val bootstrap: Bootstrap, private val loop: EventLoop) {
+    private var channel: Channel? = null
+    private var backoff = MIN_DIAL_BACKOFF
+    private var isStopped = false
+
     /** Ends the link and stops dialing. */
-    public fun stop(): Unit = job.cancel()
+    public fun stop() {
+        loop.execute {
+            isStopped = true
+            channel?.close()
+        }
+    }
+
+    internal fun resetBackoff() {
+        backoff = MIN_DIAL_BACKOFF
+    }
+
+    internal fun dial() {
+        if (isStopped) return
+        val connecting = bootstrap.connect()
+        channel = connecting.channel()
+        connecting.channel().closeFuture().addListener {
+            loop.schedule(::dial, backoff.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            backoff = minOf(backoff * 2, MAX_DIAL_BACKOFF)
+        }
+    }
 }
 
 /** Dials a link from [self] to [target], and again with exponential backoff whenever it ends, until the returned link is stopped. */
@@ -80,20 +111,22 @@
     authentication: PeerAuthentication,
     handlers: PeerHandlers,
 ): ReconnectingLink {
-    val job = scope.launch {
-        var backoff = MIN_DIAL_BACKOFF
-        val handlersWithReset = handlers.alsoOnOpened { backoff = MIN_DIAL_BACKOFF }
-        while (true) {
-            isolateFailures(handlers) {
-                val address = InetSocketAddress(target.host, target.port)
-                val socket = withTimeout(CONNECT_TIMEOUT) { aSocket(selector).tcp().connect(address) { noDelay = true } }
-                socket.use { it.runLink({ dial(self, target.vm, authentication) }, handlersWithReset) }
-            }
-            delay(backoff)
-            backoff = minOf(backoff * 2, MAX_DIAL_BACKOFF)
-        }
-    }
-    return ReconnectingLink(job)
+    val loop = group.next() as EventLoop
+    val bootstrap = Bootstrap()
+    val link = ReconnectingLink(bootstrap, loop)
+    bootstrap
+        .group(loop)
+        .channel(NioSocketChannel::class.java)
+        .resolver(hostNames)
+        .remoteAddress(
+            EndpointAddress(target.host, target.port).toSocketAddressOrNull()
+                ?: InetSocketAddress.createUnresolved(target.host, target.port),
+        ).option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+        .option(ChannelOption.ALLOCATOR, frameAllocator)
+        .handler(linkPipeline({ dialerHandshake(self, target.vm, authentication) }, handlers.alsoOnOpened(link::resetBackoff)))
+    loop.execute(link::dial)
+    return link
 }
 
 private fun PeerHandlers.alsoOnOpened(action: () -> Unit): PeerHandlers = PeerHandlers(
@@ -105,19 +138,3 @@
     onClosed = onClosed,
     onRefused = onRefused,
 )
-
-/** Runs [action] and catches its exceptions, so that the failure of one link does not end the others. */
-private suspend fun isolateFailures(handlers: PeerHandlers, action: suspend () -> Unit) {
-    @Suppress("TooGenericExceptionCaught")
-    try {
-        action()
-    } catch (_: IOException) {
-        // The connection failed; the dialer connects again.
-    } catch (_: TimeoutCancellationException) {
-        // The peer did not respond in time; the dialer connects again.
-    } catch (failure: CancellationException) {
-        throw failure
-    } catch (failure: Exception) {
-        handlers.onRefused(LinkRefused("the link failed: $failure"))
-    }
-}
