Change weights only as fast as their deadline asks for while a service is strained

Cause: half of a service's endpoints may change their weights at once, whatever waits.

Change: the leader sees from the routers' evidence how many first tokens of a service come later than their objective. While that is more than a tenth, it opens the fewest load commands with which each endpoint still changes within the time that the settings allow (LoadPacing, code of its own). A calm service changes as before. A new leader doesn't know how old targets are and hurries.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -18,6 +18,7 @@
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.FleetView
 import sniperoute.version.decision.FleetWorkloads
+import sniperoute.version.decision.Lateness
 import sniperoute.version.decision.Leases
 import sniperoute.version.decision.RequestLimits
 import sniperoute.version.decision.RouterName
@@ -84,7 +85,8 @@
  * [pendingProposals] are keyed by proposal number. Token requests and returns collect in [pendingTokenRequests] and [returnedTokens]
  * while an earlier token command is pending. [pendingMoveAdvances] are the services for whose move an advance was proposed in the last
  * tick. [servedWeights] holds the last weights read from each endpoint, [lastReportedRevision] the newest revision that was recorded as
- * in force everywhere, and [storeIncarnations] the incarnation of each cache store, or that it is unreachable.
+ * in force everywhere, [storeIncarnations] the incarnation of each cache store, or that it is unreachable, and [lateness] how many first
+ * tokens of each service come late.
  */
 public data class LeaderState(
     public val term: Long,
@@ -110,14 +112,20 @@
     public val storeIncarnations: PersistentMap<ServiceName, Long> = persistentMapOf(),
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
     public val limits: RequestLimits,
+    public val lateness: PersistentMap<ServiceName, Lateness> = persistentMapOf(),
 )
 
 /**
  * The settings for listed services. With [readsPlatformList] a leader reads the platform's list and reconciles the services in it. A new
  * leader sends their endpoints no load command for [loadCommandGracePeriod], after which commands of an earlier leader can no longer
- * take effect.
+ * take effect. Endpoints must change within [weightsLimit] of the naming of newer weights; when it is `null`, a strained service changes
+ * its endpoints as fast as any other.
  */
-public data class FleetSettings(public val readsPlatformList: Boolean = false, public val loadCommandGracePeriod: Duration = Duration.ZERO)
+public data class FleetSettings(
+    public val readsPlatformList: Boolean = false,
+    public val loadCommandGracePeriod: Duration = Duration.ZERO,
+    public val weightsLimit: Duration? = null,
+)
 
 /**
  * The state of the control duty. [appliedIndex] is the last log entry that was applied to [replicatedState], [nextProposal] the number of
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -135,6 +135,10 @@
         .mapNotNull { (it.item as? ModelWeightsItem)?.weights }
         .associateBy { it.model }
 
+/** Returns the objective of [route], in milliseconds to the first token, or `null` if there is no such route. */
+public fun ControlState.objectiveOrNull(route: RouteName): Long? =
+    (published.itemOrNull(ItemName(ItemKind.ROUTE, route.text)) as RouteItem?)?.route?.objectiveMilliseconds
+
 /** Returns the cache stores, by the services that declare them. */
 public fun ControlState.stores(): Map<ServiceName, StoreAddress> =
     published.changes.values
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -232,11 +232,9 @@
     now: Timestamp,
 ): ControlStep {
     val isNewRouter = leaderState?.leases?.routers?.containsKey(input.router) == false
-    val renewed = updateLeader {
-        copy(
-            leases = leases.renew(input.router, request.revision, now),
-            evidence = evidence.put(input.router, evidenceTable(request.evidence)),
-        )
+    val table = evidenceTable(request.evidence)
+    val renewed = recordLateness(leaderState?.evidence?.get(input.router), table, now).updateLeader {
+        copy(leases = leases.renew(input.router, request.revision, now), evidence = evidence.put(input.router, table))
     }
     val published = replicatedState.published
     val since = published.changesSince(request.revision)
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -13,6 +13,15 @@
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
 import sniperoute.version.decision.*
+import sniperoute.version.decision.EvidenceTable
+import sniperoute.version.decision.MaxOpenCommands
+import sniperoute.version.decision.fewestOpenCommands
+import sniperoute.version.decision.isStrained
+import sniperoute.version.decision.lateSince
+import sniperoute.version.decision.maxOpenCommands
+import sniperoute.version.decision.noEvidence
+import sniperoute.version.decision.noLateness
+import sniperoute.version.decision.record
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
 import sniperoute.version.message.STORE_UNREACHABLE
@@ -86,12 +95,33 @@
 /** Returns the state after [update] of the weight loads, with the reads and load commands that are due after it. */
 internal fun ControlDutyState.reconcileLoads(now: Timestamp, update: (WeightLoads) -> WeightLoads): ControlStep {
     val leader = leaderState ?: return unchanged()
-    val step = update(leader.loads).reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now)
+    val step = update(
+        leader.loads,
+    ).reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, leader.maxOpenCommands(settings))
     val next = updateLeader { copy(loads = step.loads) }.unchanged()
     val emitted = step.effects.fold(next) { all, effect -> all.emit(PerformLoadEffect(effect, leader.term)) }
     return if (step.loads === leader.loads) emitted else emitted.then { it.publishFleet() }
 }
 
+private fun LeaderState.maxOpenCommands(settings: FleetSettings): MaxOpenCommands = { service, size, outdatedSince, now ->
+    val limit = settings.weightsLimit
+    val isStrained = lateness[service]?.isStrained(now) ?: false
+    if (limit == null || !isStrained) maxOpenCommands(size) else fewestOpenCommands(size, outdatedSince, limit, now)
+}
+
+/** Counts the first tokens that a router reports [after] those that it reported [before], by the objectives of their routes. */
+internal fun ControlDutyState.recordLateness(before: EvidenceTable?, after: EvidenceTable, now: Timestamp): ControlDutyState {
+    if (before == null || settings.weightsLimit == null) return this
+    val changed = after.filter { (key, sum) -> before[key]?.answered != sum.answered }
+    return changed.entries.fold(this) { state, (key, sum) ->
+        val objective = state.replicatedState.objectiveOrNull(key.route) ?: return@fold state
+        val (late, total) = lateSince(before[key] ?: noEvidence(), sum, objective)
+        state.updateLeader {
+            copy(lateness = lateness.put(key.service, (lateness[key.service] ?: noLateness(now)).record(late, total, now)))
+        }
+    }
+}
+
 /** Computes the fleet view anew; when it differs from the last one, stores it and notifies routers of the changes. */
 internal fun ControlDutyState.publishFleet(): ControlStep {
     val leader = leaderState ?: return unchanged()
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -9,6 +9,7 @@
 import sniperoute.request.routing.message.AdmittedRequest
 import sniperoute.version.decision.chosenWeightsOrNull
 import sniperoute.version.decision.currentWeightsOrNull
+import sniperoute.version.decision.outdatedSinceOrNull
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.Service
 import sniperoute.version.message.ServiceKind
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -15,9 +15,11 @@
 import sniperoute.version.decision.EvidenceKey
 import sniperoute.version.decision.EvidenceSum
 import sniperoute.version.decision.FleetView
+import sniperoute.version.decision.TargetWeights
 import sniperoute.version.decision.addFailure
 import sniperoute.version.decision.addResponse
 import sniperoute.version.decision.noEvidence
+import sniperoute.version.decision.with
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.RequestDigest
 import sniperoute.version.message.ServiceName
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -16,6 +16,7 @@
 import sniperoute.request.routing.message.RoutingEffect
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.FleetView
+import sniperoute.version.decision.TargetWeights
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.emptyFleetView
 import sniperoute.version.decision.noEvidenceTable
@@ -120,19 +121,6 @@
     public val minimumTokenReserve: MinimumTokenReserve = { _, _ -> 0 },
 )
 
-/** Target weights of a model, and when this router learned of them. */
-public data class TargetWeights(public val number: Long, public val seen: Timestamp)
-
-/** The upper bound on target weights that are kept for a model. */
-private const val MAX_TARGET_WEIGHTS = 16
-
-/** Returns the list with [newer] at its end, without the oldest if there are more than [MAX_TARGET_WEIGHTS]. */
-internal fun PersistentList<TargetWeights>.with(newer: TargetWeights): PersistentList<TargetWeights> =
-    (if (size >= MAX_TARGET_WEIGHTS) removeAt(0) else this).add(newer)
-
-/** Returns the time since when weights above [number] are known, or `null` if there are none. */
-internal fun PersistentList<TargetWeights>.outdatedSinceOrNull(number: Long): Timestamp? = firstOrNull { it.number > number }?.seen
-
 /** Returns the state of a router that starts at [now]. */
 public fun newRoutingState(now: Timestamp, settings: RoutingSettings = RoutingSettings()): RoutingState = RoutingState(
     view = ServingView(emptyCatalogue(), Timestamp.EARLIEST),
--- /dev/null
+++ b/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
@@ -0,0 +1,83 @@
+/**
+ * How many endpoints of a service change their weights at once. An endpoint that changes serves nothing for seconds. The load that this
+ * decides about is new weights that follow each other while requests wait: then each endpoint that is away makes more of them late, and
+ * costs more than answers by older weights do. So endpoints change only as fast as their deadlines ask for while the service is
+ * strained, and as fast as its other endpoints allow otherwise.
+ */
+package sniperoute.version.decision
+
+import sniperoute.process.clock.Timestamp
+import sniperoute.version.message.ServiceName
+import kotlin.math.ceil
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Returns how many of the [size] endpoints of [service] may have an open load command at [now]; [outdatedSince] has, for each endpoint
+ * with outdated weights, the time at which the first newer weights were named.
+ */
+public typealias MaxOpenCommands = (service: ServiceName, size: Int, outdatedSince: List<Timestamp>, now: Timestamp) -> Int
+
+/**
+ * One in [OPEN_COMMAND_DIVISOR] endpoints of a service may have an open command, but at least [MIN_OPEN_COMMANDS] and never all of
+ * several endpoints. Most of that time the endpoints finish running requests, so only a few load at once, while the others serve the
+ * traffic.
+ */
+private const val OPEN_COMMAND_DIVISOR = 2
+private const val MIN_OPEN_COMMANDS = 2
+
+/** Returns the most open commands for a service with [size] endpoints, whatever its load. */
+public fun maxOpenCommands(size: Int): Int = maxOf(MIN_OPEN_COMMANDS, size / OPEN_COMMAND_DIVISOR).coerceAtMost(maxOf(1, size - 1))
+
+/** The time from the plan of a load command until the endpoint serves again, with long requests to finish first. */
+private val ASSUMED_LOAD_TIME: Duration = 3.seconds
+
+/**
+ * Returns the fewest open commands with which every endpoint changes within [limit] of the naming of newer weights, up to
+ * [maxOpenCommands]. An endpoint that is past its limit is due at once.
+ */
+public fun fewestOpenCommands(size: Int, outdatedSince: List<Timestamp>, limit: Duration, now: Timestamp): Int {
+    val timesLeft = outdatedSince.map { it + limit - now }.sorted()
+    val needed = timesLeft.withIndex().maxOfOrNull { (position, left) -> neededFor(position + 1, left) } ?: 0
+    return needed.coerceIn(1, maxOpenCommands(size))
+}
+
+/** Returns how many endpoints must change at once so that [count] of them have changed in [left]. */
+private fun neededFor(count: Int, left: Duration): Int =
+    if (left <= ASSUMED_LOAD_TIME) count else ceil(count * (ASSUMED_LOAD_TIME / left)).toInt()
+
+/** Counts of first tokens of a service's requests at [at], [late] ones of [total], in which earlier ones count less. */
+public data class Lateness(public val late: Double, public val total: Double, public val at: Timestamp)
+
+/** Returns the counts of a service without requests. */
+public fun noLateness(now: Timestamp): Lateness = Lateness(0.0, 0.0, now)
+
+/** In this time, the weight of a count halves. */
+private val LATENESS_HALF_LIFE: Duration = 1_000.milliseconds
+
+/** A service is strained when more than this share of its first tokens comes later than the objective. */
+private const val STRAINED_SHARE = 0.1
+
+/** Fewer first tokens say little. */
+private const val MIN_STRAINED_COUNT = 5.0
+
+/** Returns the counts after [late] of [total] further first tokens were late. */
+public fun Lateness.record(late: Long, total: Long, now: Timestamp): Lateness {
+    val kept = keptAt(now)
+    return Lateness(this.late * kept + late, this.total * kept + total, maxOf(at, now))
+}
+
+private fun Lateness.keptAt(now: Timestamp): Double = 0.5.pow((now - at).coerceAtLeast(Duration.ZERO) / LATENESS_HALF_LIFE)
+
+/** Whether so many callers of the service get their first token late at [now] that none of its endpoints should be away without need. */
+public fun Lateness.isStrained(now: Timestamp): Boolean =
+    total * keptAt(now) >= MIN_STRAINED_COUNT && late > total * STRAINED_SHARE
+
+/** Returns how many first tokens [after] counts since [before], and how many of them took longer than [objectiveMilliseconds]. */
+public fun lateSince(before: EvidenceSum, after: EvidenceSum, objectiveMilliseconds: Long): Pair<Long, Long> {
+    val firstLate = firstTokenBucket(objectiveMilliseconds.toDouble()) + 1
+    val late = (firstLate until FIRST_TOKEN_BUCKETS).sumOf { (after.buckets[it] - before.buckets[it]).coerceAtLeast(0) }
+    return late to (after.answered - before.answered).coerceAtLeast(late)
+}
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -7,7 +7,9 @@
  */
 package sniperoute.version.decision
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import sniperoute.process.clock.Timestamp
@@ -38,14 +40,6 @@
 /** How long this leader plans no commands after an endpoint rejected one because it had seen a higher fencing token. */
 private val FENCED_COOL_DOWN: Duration = 1.hours
 
-/**
- * One in [OPEN_COMMAND_DIVISOR] endpoints of a service may have an open command, but at least [MIN_OPEN_COMMANDS] and never all of
- * several endpoints. Most of that time the endpoints finish running requests, so only a few load at once, while the others serve the
- * traffic.
- */
-private const val OPEN_COMMAND_DIVISOR = 2
-private const val MIN_OPEN_COMMANDS = 2
-
 /**
  * A command to load weights [number] of [model], [planned], [sent] and [accepted] at these times. Routers send the endpoint no
  * requests from [planned] on.
@@ -72,10 +66,14 @@
     public val openCommand: OpenLoadCommand? = null,
 )
 
-/** All listed endpoints; no load command is planned before [loadCommandsAllowedFrom]. */
+/**
+ * All listed endpoints; no load command is planned before [loadCommandsAllowedFrom]. The [targets] of each model are those that this leader
+ * has seen, `null` before it has looked for the first time.
+ */
 public data class WeightLoads(
     public val endpoints: PersistentMap<EndpointName, EndpointLoad>,
     public val loadCommandsAllowedFrom: Timestamp,
+    public val targets: PersistentMap<ModelName, PersistentList<TargetWeights>>? = null,
 )
 
 /** Returns the state of a leader that may plan load commands from [loadCommandsAllowedFrom] on. */
@@ -205,6 +203,27 @@
     targetWeights: Map<ModelName, ModelWeights>,
     modelsOf: (ServiceName) -> List<ModelName>,
     now: Timestamp,
+    maxOpen: MaxOpenCommands = { _, size, _, _ -> maxOpenCommands(size) },
+): LoadStep = withTargets(targetWeights, now).reconcileServices(targetWeights, modelsOf, now, maxOpen)
+
+/** Targets from before this leader looked may have been named at any time, so they count as named long ago. */
+private fun WeightLoads.withTargets(targetWeights: Map<ModelName, ModelWeights>, now: Timestamp): WeightLoads {
+    val known = targets ?: persistentMapOf()
+    val newer = targetWeights.values.filter { target -> known[target.model].orEmpty().none { it.number >= target.number } }
+    if (newer.isEmpty() && targets != null) return this
+    val seen = if (targets == null) Timestamp.EARLIEST else now
+    return copy(
+        targets = newer.fold(known) { all, target ->
+            all.put(target.model, (all[target.model] ?: persistentListOf()).with(TargetWeights(target.number, seen)))
+        },
+    )
+}
+
+private fun WeightLoads.reconcileServices(
+    targetWeights: Map<ModelName, ModelWeights>,
+    modelsOf: (ServiceName) -> List<ModelName>,
+    now: Timestamp,
+    maxOpen: MaxOpenCommands,
 ): LoadStep =
     endpoints.values
         .groupBy { it.listed.service }
@@ -212,19 +231,30 @@
         .fold(LoadStep(this, emptyList())) { step, (service, members) ->
             val targets = modelsOf(service).mapNotNull { targetWeights[it] }
             val isSettled = targets.isEmpty() && members.none { it.isBusy || it.openCommand != null }
-            if (isSettled) step else step.reconcileService(members.map { it.listed.endpoint.name }, targets, now)
+            if (isSettled) step else step.reconcileService(service, members.map { it.listed.endpoint.name }, targets, now, maxOpen)
         }
 
-private fun LoadStep.reconcileService(names: List<EndpointName>, targets: List<ModelWeights>, now: Timestamp): LoadStep {
-    val planned = loads.plan(names, targets, now)
+private fun LoadStep.reconcileService(
+    service: ServiceName,
+    names: List<EndpointName>,
+    targets: List<ModelWeights>,
+    now: Timestamp,
+    maxOpen: MaxOpenCommands,
+): LoadStep {
+    val planned = loads.plan(names, targets, now) { outdatedSince -> maxOpen(service, names.size, outdatedSince, now) }
     return names.sorted().fold(LoadStep(planned, effects)) { step, name -> step.reconcileEndpoint(name, targets, now) }
 }
 
 /** Plans commands for the endpoints that load next, up to the limit of open commands. */
-private fun WeightLoads.plan(names: List<EndpointName>, targets: List<ModelWeights>, now: Timestamp): WeightLoads {
+private fun WeightLoads.plan(
+    names: List<EndpointName>,
+    targets: List<ModelWeights>,
+    now: Timestamp,
+    maxOpen: (outdatedSince: List<Timestamp>) -> Int,
+): WeightLoads {
     if (now < loadCommandsAllowedFrom) return this
     val members = names.mapNotNull { endpoints[it] }
-    val available = maxOpenCommands(names.size) - members.count { it.openCommand != null }
+    val available = maxOpen(members.mapNotNull { outdatedSinceOrNull(it, targets) }) - members.count { it.openCommand != null }
     return members
         .filter {
             it.openCommand == null && it.commandCount != null && !it.isBusy && !it.listed.isLeaving &&
@@ -237,7 +267,8 @@
         }
 }
 
-private fun maxOpenCommands(size: Int): Int = maxOf(MIN_OPEN_COMMANDS, size / OPEN_COMMAND_DIVISOR).coerceAtMost(maxOf(1, size - 1))
+private fun WeightLoads.outdatedSinceOrNull(load: EndpointLoad, current: List<ModelWeights>): Timestamp? =
+    current.mapNotNull { targets?.get(it.model)?.outdatedSinceOrNull(load.weights[it.model] ?: 0) }.minOrNull()
 
 /**
  * Returns the lowest difference between the endpoint's weights and the targets. The endpoints that are furthest behind load first,
