Let each replica remember when target weights were named

Change: each replica keeps when it applied the targets, in its own state beside the replicated one, so a follower that becomes the leader paces too. After a restart the time counts from the replay, which delays changes and no more: routers begin no request on weights that they know to be outdated.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -22,11 +22,15 @@
 import sniperoute.version.decision.Leases
 import sniperoute.version.decision.RequestLimits
 import sniperoute.version.decision.RouterName
+import sniperoute.version.decision.TargetWeights
 import sniperoute.version.decision.WeightLoads
 import sniperoute.version.decision.noFleetWorkloads
 import sniperoute.version.decision.noRequestLimits
 import sniperoute.version.decision.noWeightLoads
+import sniperoute.version.decision.with
 import sniperoute.version.message.EndpointName
+import sniperoute.version.message.ModelName
+import sniperoute.version.message.ModelWeights
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
@@ -130,6 +134,7 @@
 /**
  * The state of the control duty. [appliedIndex] is the last log entry that was applied to [replicatedState], [nextProposal] the number of
  * the next proposal, [snapshotIndex] the log entry of the last snapshot, and [bytesSinceSnapshot] the length of the commands after it.
+ * The [targetWeights] of each model are those that this replica has applied, with the time at which it did.
  * [leaderState] is `null` unless this replica leads.
  */
 public data class ControlDutyState(
@@ -140,6 +145,15 @@
     public val snapshotIndex: Long,
     public val settings: FleetSettings = FleetSettings(),
     public val bytesSinceSnapshot: Long = 0,
+    public val targetWeights: PersistentMap<ModelName, PersistentList<TargetWeights>> = persistentMapOf(),
+)
+
+/** Returns the state after this replica learned of the target weights [newer] at [now]. A later leader so knows how old they are. */
+internal fun ControlDutyState.withTargetWeights(newer: Collection<ModelWeights>, now: Timestamp): ControlDutyState = copy(
+    targetWeights = newer.fold(targetWeights) { all, target ->
+        val known = all[target.model] ?: persistentListOf()
+        if (known.any { it.number >= target.number }) all else all.put(target.model, known.with(TargetWeights(target.number, now)))
+    },
 )
 
 /**
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -36,7 +36,7 @@
             .fold(
                 unchanged(),
             ) { step, entry -> step.then { it.applyEntry(entry, now) }.then { it.takeSnapshotIfDue() } }
-    is SnapshotRestored -> restore(input)
+    is SnapshotRestored -> restore(input, now)
     is ProposalRejected -> onProposalRejected(input)
     is RouterMessageReceived -> onRouterMessage(input, status, now)
     is LedgerRequestReceived -> onLedgerRequest(input, status, now)
@@ -91,9 +91,11 @@
     }.fail(proposal, input.leader, mayHaveRun = false)
 }
 
-private fun ControlDutyState.restore(input: SnapshotRestored): ControlStep {
+private fun ControlDutyState.restore(input: SnapshotRestored, now: Timestamp): ControlStep {
     val restored = input.replicatedState ?: return copy(appliedIndex = input.index).unchanged()
-    return copy(appliedIndex = input.index, snapshotIndex = input.index, replicatedState = restored, bytesSinceSnapshot = 0).unchanged()
+    return copy(appliedIndex = input.index, snapshotIndex = input.index, replicatedState = restored, bytesSinceSnapshot = 0)
+        .withTargetWeights(restored.targetWeights().values, now)
+        .unchanged()
 }
 
 private fun ControlDutyState.takeSnapshotIfDue(): ControlStep {
@@ -108,6 +110,7 @@
     val applied = replicatedState.apply(command, entry.index)
     val revisionBefore = replicatedState.published.revision
     val next = copy(appliedIndex = entry.index, replicatedState = applied.state, bytesSinceSnapshot = bytesSinceSnapshot + entry.bytes)
+        .withTargetWeights(if (command is SetTargetWeights) applied.state.targetWeights().values else emptyList(), now)
         .recordEvents(command, applied)
     val answered = next.then { it.completeProposal(entry.proposal, applied.result, now) }
     return if (applied.state.published.revision > revisionBefore) answered.then { it.notifyRouters() } else answered
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -21,6 +21,7 @@
 import sniperoute.version.decision.maxOpenCommands
 import sniperoute.version.decision.noEvidence
 import sniperoute.version.decision.noLateness
+import sniperoute.version.decision.outdatedSinceOrNull
 import sniperoute.version.decision.record
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
@@ -95,18 +96,21 @@
 /** Returns the state after [update] of the weight loads, with the reads and load commands that are due after it. */
 internal fun ControlDutyState.reconcileLoads(now: Timestamp, update: (WeightLoads) -> WeightLoads): ControlStep {
     val leader = leaderState ?: return unchanged()
-    val step = update(
-        leader.loads,
-    ).reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, leader.maxOpenCommands(settings))
+    val maxOpen = maxOpenCommands(leader, now)
+    val step = update(leader.loads).reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, maxOpen)
     val next = updateLeader { copy(loads = step.loads) }.unchanged()
     val emitted = step.effects.fold(next) { all, effect -> all.emit(PerformLoadEffect(effect, leader.term)) }
     return if (step.loads === leader.loads) emitted else emitted.then { it.publishFleet() }
 }
 
-private fun LeaderState.maxOpenCommands(settings: FleetSettings): MaxOpenCommands = { service, size, outdatedSince, now ->
+private fun ControlDutyState.maxOpenCommands(leader: LeaderState, now: Timestamp): MaxOpenCommands = { service, size, outdated ->
     val limit = settings.weightsLimit
-    val isStrained = lateness[service]?.isStrained(now) ?: false
-    if (limit == null || !isStrained) maxOpenCommands(size) else fewestOpenCommands(size, outdatedSince, limit, now)
+    val isStrained = leader.lateness[service]?.isStrained(now) ?: false
+    if (limit == null || !isStrained) {
+        maxOpenCommands(size)
+    } else {
+        fewestOpenCommands(size, outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }, limit, now)
+    }
 }
 
 /** Counts the first tokens that a router reports [after] those that it reported [before], by the objectives of their routes. */
--- a/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
@@ -6,7 +6,9 @@
  */
 package sniperoute.version.decision
 
+import kotlinx.collections.immutable.PersistentList
 import sniperoute.process.clock.Timestamp
+import sniperoute.version.message.ModelName
 import sniperoute.version.message.ServiceName
 import kotlin.math.ceil
 import kotlin.math.pow
@@ -14,11 +16,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Returns how many of the [size] endpoints of [service] may have an open load command at [now]; [outdatedSince] has, for each endpoint
- * with outdated weights, the time at which the first newer weights were named.
- */
-public typealias MaxOpenCommands = (service: ServiceName, size: Int, outdatedSince: List<Timestamp>, now: Timestamp) -> Int
+/** Returns how many of the [size] endpoints of [service] may have an open load command while those in [outdated] have outdated weights. */
+public typealias MaxOpenCommands = (service: ServiceName, size: Int, outdated: List<EndpointLoad>) -> Int
 
 /**
  * One in [OPEN_COMMAND_DIVISOR] endpoints of a service may have an open command, but at least [MIN_OPEN_COMMANDS] and never all of
@@ -44,6 +43,10 @@
     return needed.coerceIn(1, maxOpenCommands(size))
 }
 
+/** Returns since when the endpoint's weights are outdated, by the [targets] of each model that this process knows. */
+public fun EndpointLoad.outdatedSinceOrNull(targets: Map<ModelName, PersistentList<TargetWeights>>): Timestamp? =
+    weights.entries.mapNotNull { (model, number) -> targets[model]?.outdatedSinceOrNull(number) }.minOrNull()
+
 /** Returns how many endpoints must change at once so that [count] of them have changed in [left]. */
 private fun neededFor(count: Int, left: Duration): Int =
     if (left <= ASSUMED_LOAD_TIME) count else ceil(count * (ASSUMED_LOAD_TIME / left)).toInt()
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -7,9 +7,7 @@
  */
 package sniperoute.version.decision
 
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import sniperoute.process.clock.Timestamp
@@ -66,14 +64,10 @@
     public val openCommand: OpenLoadCommand? = null,
 )
 
-/**
- * All listed endpoints; no load command is planned before [loadCommandsAllowedFrom]. The [targets] of each model are those that this leader
- * has seen, `null` before it has looked for the first time.
- */
+/** All listed endpoints; no load command is planned before [loadCommandsAllowedFrom]. */
 public data class WeightLoads(
     public val endpoints: PersistentMap<EndpointName, EndpointLoad>,
     public val loadCommandsAllowedFrom: Timestamp,
-    public val targets: PersistentMap<ModelName, PersistentList<TargetWeights>>? = null,
 )
 
 /** Returns the state of a leader that may plan load commands from [loadCommandsAllowedFrom] on. */
@@ -203,27 +197,7 @@
     targetWeights: Map<ModelName, ModelWeights>,
     modelsOf: (ServiceName) -> List<ModelName>,
     now: Timestamp,
-    maxOpen: MaxOpenCommands = { _, size, _, _ -> maxOpenCommands(size) },
-): LoadStep = withTargets(targetWeights, now).reconcileServices(targetWeights, modelsOf, now, maxOpen)
-
-/** Targets from before this leader looked may have been named at any time, so they count as named long ago. */
-private fun WeightLoads.withTargets(targetWeights: Map<ModelName, ModelWeights>, now: Timestamp): WeightLoads {
-    val known = targets ?: persistentMapOf()
-    val newer = targetWeights.values.filter { target -> known[target.model].orEmpty().none { it.number >= target.number } }
-    if (newer.isEmpty() && targets != null) return this
-    val seen = if (targets == null) Timestamp.EARLIEST else now
-    return copy(
-        targets = newer.fold(known) { all, target ->
-            all.put(target.model, (all[target.model] ?: persistentListOf()).with(TargetWeights(target.number, seen)))
-        },
-    )
-}
-
-private fun WeightLoads.reconcileServices(
-    targetWeights: Map<ModelName, ModelWeights>,
-    modelsOf: (ServiceName) -> List<ModelName>,
-    now: Timestamp,
-    maxOpen: MaxOpenCommands,
+    maxOpen: MaxOpenCommands = { _, size, _ -> maxOpenCommands(size) },
 ): LoadStep =
     endpoints.values
         .groupBy { it.listed.service }
@@ -231,17 +205,17 @@
         .fold(LoadStep(this, emptyList())) { step, (service, members) ->
             val targets = modelsOf(service).mapNotNull { targetWeights[it] }
             val isSettled = targets.isEmpty() && members.none { it.isBusy || it.openCommand != null }
-            if (isSettled) step else step.reconcileService(service, members.map { it.listed.endpoint.name }, targets, now, maxOpen)
+            if (isSettled) step else step.reconcileService(members, targets, now) { outdated -> maxOpen(service, members.size, outdated) }
         }
 
 private fun LoadStep.reconcileService(
-    service: ServiceName,
-    names: List<EndpointName>,
+    members: List<EndpointLoad>,
     targets: List<ModelWeights>,
     now: Timestamp,
-    maxOpen: MaxOpenCommands,
+    maxOpen: (outdated: List<EndpointLoad>) -> Int,
 ): LoadStep {
-    val planned = loads.plan(names, targets, now) { outdatedSince -> maxOpen(service, names.size, outdatedSince, now) }
+    val names = members.map { it.listed.endpoint.name }
+    val planned = loads.plan(names, targets, now, maxOpen)
     return names.sorted().fold(LoadStep(planned, effects)) { step, name -> step.reconcileEndpoint(name, targets, now) }
 }
 
@@ -250,11 +224,11 @@
     names: List<EndpointName>,
     targets: List<ModelWeights>,
     now: Timestamp,
-    maxOpen: (outdatedSince: List<Timestamp>) -> Int,
+    maxOpen: (outdated: List<EndpointLoad>) -> Int,
 ): WeightLoads {
     if (now < loadCommandsAllowedFrom) return this
     val members = names.mapNotNull { endpoints[it] }
-    val available = maxOpen(members.mapNotNull { outdatedSinceOrNull(it, targets) }) - members.count { it.openCommand != null }
+    val available = maxOpen(members.filter { it.outdatedOrNull(targets) != null }) - members.count { it.openCommand != null }
     return members
         .filter {
             it.openCommand == null && it.commandCount != null && !it.isBusy && !it.listed.isLeaving &&
@@ -267,9 +241,6 @@
         }
 }
 
-private fun WeightLoads.outdatedSinceOrNull(load: EndpointLoad, current: List<ModelWeights>): Timestamp? =
-    current.mapNotNull { targets?.get(it.model)?.outdatedSinceOrNull(load.weights[it.model] ?: 0) }.minOrNull()
-
 /**
  * Returns the lowest difference between the endpoint's weights and the targets. The endpoints that are furthest behind load first,
  * so that none is left behind when new weights follow each other quickly.
