Tell refused callers to come back when the shortest queue allows it

Cause: a request that found no endpoint in time was refused with an eighth of its objective to wait, 50 to 150 ms, whatever queued. In a trial of a burst the shortest queue was 1.0 to 1.5 s at nearly every refusal, so callers spent their next try on the same queue.

Change: returnDelay, a decision of its own: the excess of the shortest queue over what the request may wait there, spread over as much again by the request's hash, at most a third of the time left.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -96,7 +96,7 @@
 )
 
 /** The share of a route's objective that a request may wait behind others at an engine; the rest is for its own prompt. */
-private const val QUEUEING_SHARE = 0.8
+internal const val QUEUEING_SHARE: Double = 0.8
 
 private fun PlacementContext.maxQueueingTime(): Duration = request.route.objectiveMilliseconds.milliseconds * QUEUEING_SHARE
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -7,6 +7,7 @@
 import sniperoute.request.admission.decision.Refusal
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.admission.decision.isReady
+import sniperoute.request.admission.decision.returnDelay
 import sniperoute.request.routing.message.AdmittedRequest
 import sniperoute.request.routing.message.GiveUp
 import sniperoute.request.routing.message.Refuse
@@ -85,7 +86,7 @@
         workspace != null && !hasTokens(request, now) -> overRateRefusalOrNull(workspace, request, queueDeadline, now)
         now < queueDeadline -> pausedRefusalOrNull(request, queueDeadline, now)
         request.queueDeadline < request.deadline ->
-            Refusal(RefusalKind.OVERLOADED, overloadMessage(request, now), retryAfter = retryAfter(request))
+            Refusal(RefusalKind.OVERLOADED, overloadMessage(request, now), retryAfter = overloadRetryAfter(request, now))
         else -> Refusal(RefusalKind.DEADLINE, "no endpoint had a free slot before the route's deadline")
     }
 }
@@ -120,7 +121,7 @@
 private fun RoutingState.overloadMessage(request: AdmittedRequest, now: Timestamp): String {
     val known = members[request.service].orEmpty().mapNotNull { endpoints[it] }
     val usable = known.filter { it.isUsable(now) && !isOutdated(it, request, now) }
-    val shortest = usable.minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() } ?: Duration.ZERO
+    val shortest = shortestQueueOrNull(request, now) ?: Duration.ZERO
     val changing = known.count { it.isChanging }
     val ejected = known.count { now < maxOf(it.ejectedUntil, it.silentUntil) }
     val limited = known.count { !it.isPermitted(now) }
@@ -132,6 +133,22 @@
         "fleet ${fleet.number}"
 }
 
+/** Returns the time of the shortest queue at endpoints that the request may use, or `null` if there are none. */
+private fun RoutingState.shortestQueueOrNull(request: AdmittedRequest, now: Timestamp): Duration? =
+    members[request.service]
+        .orEmpty()
+        .mapNotNull { endpoints[it] }
+        .filter { it.isUsable(now) && !isOutdated(it, request, now) }
+        .minOfOrNull { it.timePerToken * it.waitingTokens(now).toDouble() }
+
+private fun RoutingState.overloadRetryAfter(request: AdmittedRequest, now: Timestamp): Duration = returnDelay(
+    shortest = shortestQueueOrNull(request, now) ?: Duration.ZERO,
+    allowed = request.route.objectiveMilliseconds.milliseconds * QUEUEING_SHARE,
+    least = retryAfter(request),
+    left = request.deadline - now,
+    hash = request.hash,
+)
+
 private fun RoutingState.overRateMessage(workspace: WorkspaceName, request: AdmittedRequest, now: Timestamp): String {
     val pool = tokens.poolOf(workspace)
     return "workspace $workspace is over its rate: ${request.tokens} tokens needed, ${pool.available} available, " +
