Let operators evacuate failure domains

Cause: nothing took a failure domain out of use; an operator could only wait until its endpoints failed.

Change: SetEvacuation starts or ends the evacuation of a failure domain. It is committed before it is acknowledged, the same again changes nothing, and the order of the log decides. Evacuated domains are items of the catalogue, so routers learn of them as of a configuration, and a new configuration leaves them in place. At a router no endpoint there is a candidate, whatever sends the request; what runs there is left to end. Where a service has no endpoint elsewhere, its requests are refused at once as not run. A domain without any endpoint ever is refused only by a leader whose list is recent; ChangeTokens carries the domains seen first, in a field that is left out while it is empty, so that a domain whose endpoints vanished stays known to later leaders. Events 720 to 722, a gauge, status, `sniperoute evacuate DOMAIN [--end]`, and the two paths of the platform.

Ruled out: a number in the command (operators give none), waiting for the end of an evacuation (hours), a command of its own for seen domains (an earlier version fails on a command that it doesn't know).

--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -20,6 +20,7 @@
 import sniperoute.connection.peer.message.PeerRole
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.decision.FleetSettings
+import sniperoute.control.decision.evacuatedDomains
 import sniperoute.control.decision.newControlDutyState
 import sniperoute.control.message.EncodedSnapshot
 import sniperoute.control.message.QueuedControlInput
@@ -232,6 +233,14 @@
         metrics.gauge("sniperoute_agreement_term", "The agreement's term.") { status.get().term.toDouble() }
         metrics.gauge("sniperoute_agreement_committed", "The last committed entry.") { status.get().commitIndex.toDouble() }
         metrics.gauge("sniperoute_agreement_leads", "1 when this replica leads.") { if (status.get().isLeader) 1.0 else 0.0 }
+        metrics.gauge("sniperoute_evacuated_domains", "Failure domains whose endpoints get no new requests.") {
+            controlDuty.latestState
+                .get()
+                .replicatedState
+                .evacuatedDomains()
+                .size
+                .toDouble()
+        }
         metrics.gauge(
             "sniperoute_session_refused",
             "Router messages answered with \"not the leader\".",
--- a/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/OperatorPages.kt
@@ -110,6 +110,7 @@
             routers = state.routers(),
             moves = replicatedState.moves().toPersistentList(),
             quarantine = replicatedState.quarantine(),
+            evacuated = replicatedState.evacuatedDomains().map { it.text }.toPersistentList(),
         )
     }
 
@@ -165,10 +166,20 @@
             "/quarantine/pardon" -> decodeBody(LiftQuarantineRequest.serializer(), exchange).map {
                 LiftQuarantine(now, RequestDigest(it.digest), operator)
             }
+            "/evacuations/start" -> evacuation(exchange, now, operator, isEvacuated = true)
+            "/evacuations/end" -> evacuation(exchange, now, operator, isEvacuated = false)
             else -> notFoundPage(exchange.head.path).left()
         }
     }
 
+    private fun evacuation(exchange: Exchange, now: Timestamp, operator: String, isEvacuated: Boolean): Either<WholeResponse, Command> =
+        decodeBody(EvacuationRequest.serializer(), exchange).fold({ it.left() }) { request ->
+            when (val domain = domainNameOrNull(request.domain)) {
+                null -> malformed("\"domain\" must be a name of 1 to $MAX_DOMAIN_NAME_LENGTH printable characters").left()
+                else -> SetEvacuation(now, domain, isEvacuated, operator).right()
+            }
+        }
+
     private fun startMove(request: MoveRequest, now: Timestamp, operator: String): Either<WholeResponse, Command> = either {
         val to = ensureNotNull(request.to) { malformed("\"to\" is missing") }
         val deadline = ensureNotNull(request.deadlineMilliseconds) { malformed("\"deadlineMilliseconds\" is missing") }
@@ -222,6 +233,7 @@
     null -> if (reply.mayHaveRun) leadershipLost() else notLeader(reply.leader?.text)
     is SubmissionResult -> responseTo(result)
     is CommandApplied -> json(CommandReply.serializer(), CommandReply(result.revision))
+    is SubjectUnknown -> errorResponse(HttpStatus.NOT_FOUND, "unknown", result.reason, NOT_RUN)
     is CommandRejected -> errorResponse(HttpStatus.CONFLICT, "no_effect", result.reason, NOT_RUN)
     else -> errorResponse(HttpStatus.INTERNAL_ERROR, "unexpected", "unexpected command result $result", "may-have-run")
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/codec/ControlStateCodecs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/codec/ControlStateCodecs.kt
@@ -19,6 +19,7 @@
 import sniperoute.process.codec.SerializableList
 import sniperoute.process.codec.decodeFromBytes
 import sniperoute.process.codec.encodeToBytes
+import sniperoute.process.identity.FailureDomain
 import sniperoute.request.ledger.decision.Begun
 import sniperoute.request.ledger.decision.CallState
 import sniperoute.request.ledger.decision.Finished
@@ -116,6 +117,7 @@
     val charges: SerializableList<ChargeImage>,
     val ledgerSwept: Timestamp,
     val blocks: BlockHistoryImage = BlockHistoryImage(persistentListOf(), persistentListOf()),
+    val domains: SerializableList<FailureDomain> = persistentListOf(),
 )
 
 /** Returns this state as bytes. */
@@ -144,6 +146,7 @@
     charges = crashes.records.toItems { digest, record -> ChargeImage(digest, record.endpoints.toImmutableList(), record.at) },
     ledgerSwept = lastLedgerExpiry,
     blocks = blocks.toImage(),
+    domains = domains.toImmutableList(),
 )
 
 private fun BlockHistory.toImage(): BlockHistoryImage = BlockHistoryImage(
@@ -206,6 +209,7 @@
     crashes = CrashHistory(charges.toMap { it.digest to CrashRecord(it.endpoints.toPersistentSet(), it.at) }),
     lastLedgerExpiry = ledgerSwept,
     blocks = blocks.toHistory(),
+    domains = domains.toPersistentSet(),
 )
 
 private fun <T, K, V> ImmutableList<T>.toMap(convert: (T) -> Pair<K, V>): PersistentMap<K, V> =
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -84,7 +84,8 @@
  * [pendingProposals] are keyed by proposal number. Token requests and returns collect in [pendingTokenRequests] and [returnedTokens]
  * while an earlier token command is pending. [pendingMoveAdvances] are the services for whose move an advance was proposed in the last
  * tick. [servedWeights] holds the last weights read from each endpoint, [lastReportedRevision] the newest revision that was recorded as
- * in force everywhere, and [storeIncarnations] the incarnation of each cache store, or that it is unreachable.
+ * in force everywhere, [lastListRead] the time at which the platform's list was last read in full, and [storeIncarnations] the incarnation
+ * of each cache store, or that it is unreachable.
  */
 public data class LeaderState(
     public val term: Long,
@@ -106,6 +107,7 @@
     public val fleet: FleetView? = null,
     public val loads: WeightLoads = noWeightLoads(loadCommandsAllowedFrom),
     public val nextListRead: Timestamp = Timestamp.EARLIEST,
+    public val lastListRead: Timestamp = Timestamp.EARLIEST,
     public val workloads: FleetWorkloads = noFleetWorkloads(),
     public val storeIncarnations: PersistentMap<ServiceName, Long> = persistentMapOf(),
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -4,11 +4,14 @@
 package sniperoute.control.decision
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import sniperoute.control.message.*
 import sniperoute.process.clock.Timestamp
+import sniperoute.process.identity.FailureDomain
 import sniperoute.request.ledger.decision.Ledger
 import sniperoute.request.ledger.decision.emptyLedger
 import sniperoute.request.ledger.decision.expire
@@ -25,7 +28,7 @@
 
 /**
  * The replicated state, which survives the loss of any minority of the voters. [lastLedgerExpiry] is when expired calls were last
- * removed from the ledger.
+ * removed from the ledger, and [domains] are the failure domains in which the platform's list ever named an endpoint.
  */
 public data class ControlState(
     public val configurations: Configurations,
@@ -36,6 +39,7 @@
     public val crashes: CrashHistory,
     public val lastLedgerExpiry: Timestamp,
     public val blocks: BlockHistory = emptyBlockHistory(),
+    public val domains: PersistentSet<FailureDomain> = persistentSetOf(),
 )
 
 /** Returns the state before the first command. */
@@ -58,6 +62,9 @@
 /** The command was applied; its changes are part of [revision]. */
 public data class CommandApplied(public val revision: Long) : CommandResult
 
+/** The command names something that is not known, as [reason] says; it was not proposed. */
+public data class SubjectUnknown(public val reason: String) : CommandResult
+
 /** The command was rejected for [reason] and changed nothing. */
 public data class CommandRejected(public val reason: String) : CommandResult
 
@@ -69,7 +76,8 @@
 
 /**
  * The [state] after a command, its [result], and the digests of requests that it put in quarantine. [quarantinedBlocks] and
- * [releasedBlocks] are the sets of prompt blocks whose quarantine began or ended.
+ * [releasedBlocks] are the sets of prompt blocks whose quarantine began or ended. [hasChangedEvacuation] is `true` if it started or ended
+ * an evacuation.
  */
 public data class AppliedCommand(
     public val state: ControlState,
@@ -77,6 +85,7 @@
     public val quarantined: List<RequestDigest> = persistentListOf(),
     public val quarantinedBlocks: List<ItemName> = persistentListOf(),
     public val releasedBlocks: List<ItemName> = persistentListOf(),
+    public val hasChangedEvacuation: Boolean = false,
 )
 
 /** Returns the state after [command], which is the log entry [index]. All replicas must return the same state. */
@@ -91,9 +100,10 @@
     is AdvanceMove -> applyAdvanceMove(command)
     is RollBackMove -> applyRollBack(command, index)
     is SetTargetWeights -> applyTargetWeights(command)
+    is SetEvacuation -> applyEvacuation(command)
 }
 
-private fun ControlState.applied(): AppliedCommand = AppliedCommand(this, CommandApplied(published.revision))
+internal fun ControlState.applied(): AppliedCommand = AppliedCommand(this, CommandApplied(published.revision))
 
 private fun ControlState.rejected(reason: String): AppliedCommand = AppliedCommand(this, CommandRejected(reason))
 
@@ -120,7 +130,7 @@
 }
 
 /** The kinds of items that commands publish and no declaration contains; a new configuration leaves them in place. */
-private val undeclaredKinds = setOf(ItemKind.QUARANTINE, ItemKind.BLOCK_QUARANTINE, ItemKind.MODEL_WEIGHTS)
+private val undeclaredKinds = setOf(ItemKind.QUARANTINE, ItemKind.BLOCK_QUARANTINE, ItemKind.MODEL_WEIGHTS, ItemKind.EVACUATION)
 
 private fun ControlState.applyTargetWeights(command: SetTargetWeights): AppliedCommand {
     val current = targetWeights()[command.model]
@@ -221,7 +231,10 @@
         granted += taken.tokens
         taken.allowances
     }
-    return copy(allowances = remaining).withBlocks(blocks.expire(command.at), TokensResult(granted.build()), command.at)
+    return copy(
+        allowances = remaining,
+        domains = domains.withSeen(command.seen),
+    ).withBlocks(blocks.expire(command.at), TokensResult(granted.build()), command.at)
 }
 
 private fun ControlState.applyLedger(command: ChangeLedger): AppliedCommand {
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -175,7 +175,8 @@
     val hasChanges = leader.pendingTokenRequests.isNotEmpty() || leader.returnedTokens.isNotEmpty() || isDue
     if (leader.isTokenProposalPending || !hasChanges) return unchanged()
     val wanted = leader.pendingTokenRequests.map { TokenAmount(it.workspace, it.tokens) }.toPersistentList()
-    val command = ChangeTokens(now, leader.term, leader.returnedTokens, wanted)
+    val seen = if (isDue) unrecordedDomains() else persistentListOf()
+    val command = ChangeTokens(now, leader.term, leader.returnedTokens, wanted, seen)
     val next = updateLeader {
         copy(
             pendingTokenRequests = persistentListOf(),
@@ -198,7 +199,10 @@
 
 private fun ControlDutyState.onOperatorCommand(input: OperatorCommandReceived, status: AgreementStatus, now: Timestamp): ControlStep =
     if (isLeading(status, now)) {
-        propose(input.command, OperatorProposal(input.requestId))
+        when (val unknown = unknownDomainOrNull(input.command, now)) {
+            null -> propose(input.command, OperatorProposal(input.requestId))
+            else -> unchanged().emit(SendOperatorReply(input.requestId, unknown, null))
+        }
     } else {
         unchanged().emit(SendOperatorReply(input.requestId, null, status.leader))
     }
@@ -266,9 +270,11 @@
     val report = leader.leases.report(revision, now)
     if (leader.lastReportedRevision >= revision || !report.isEverywhere) return unchanged()
     val subject = EventSubject(configuration = replicatedState.configurations.number)
+    val evacuations = replicatedState.evacuationsInForceEvents(leader.lastReportedRevision, report.live)
     return updateLeader { copy(lastReportedRevision = revision) }
         .unchanged()
         .emit(RecordTimelineEvent(EventKind.CONFIGURATION_IN_FORCE_EVERYWHERE, subject, "revision $revision on ${report.live} routers"))
+        .let { step -> evacuations.fold(step) { all, event -> all.emit(event) } }
 }
 
 private fun ControlDutyState.onLedgerRequest(input: LedgerRequestReceived, status: AgreementStatus, now: Timestamp): ControlStep {
@@ -309,6 +315,7 @@
         "service ${command.service} by ${command.operator}",
     )
     is AdvanceMove -> moveEvent(command)
+    is SetEvacuation -> evacuationEvent(command).takeIf { applied.hasChangedEvacuation }
     is ChangeLedger -> RecordTimelineEvent(
         EventKind.DIGEST_QUARANTINED,
         EventSubject(),
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -79,7 +79,8 @@
 internal fun ControlDutyState.onPlatformListRead(input: PlatformListRead, now: Timestamp): ControlStep {
     val listed = input.listed ?: return unchanged()
     val leader = leaderState ?: return unchanged()
-    val started = updateLeader { copy(fleet = leader.fleet ?: FleetView(firstFleetNumber(leader.term), persistentMapOf())) }
+    val fleet = leader.fleet ?: FleetView(firstFleetNumber(leader.term), persistentMapOf())
+    val started = updateLeader { copy(fleet = fleet, lastListRead = now) }
     return started.reconcileLoads(now) { it.withListing(listed) }
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -3,10 +3,12 @@
  */
 package sniperoute.control.message
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.codec.SerializableList
+import sniperoute.process.identity.FailureDomain
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.version.decision.Numbering
 import sniperoute.version.message.Declarations
@@ -65,13 +67,17 @@
 @Serializable
 public data class TokenAmount(public val workspace: WorkspaceName, public val tokens: Long)
 
-/** Advances fleet time in [term], deposits the tokens that routers [returned] unused, and withdraws those that are [wanted]. */
+/**
+ * Advances fleet time in [term], deposits the tokens that routers [returned] unused, and withdraws those that are [wanted]. It is the
+ * command that every leader sends regularly, so it also carries the failure domains in which endpoints were [seen] for the first time.
+ */
 @Serializable
 public data class ChangeTokens(
     override val at: Timestamp,
     public val term: Long,
     public val returned: SerializableList<TokenAmount>,
     public val wanted: SerializableList<TokenAmount>,
+    public val seen: SerializableList<FailureDomain> = persistentListOf(),
 ) : Command
 
 /** Applies a router's request to the once-only ledger, or its notice of an endpoint crash. */
@@ -105,3 +111,15 @@
 @Serializable
 @SerialName("sniperoute.control.message.TakeBackMove")
 public data class RollBackMove(override val at: Timestamp, public val service: ServiceName, public val operator: String) : Command
+
+/**
+ * Starts the evacuation of [domain] if [isEvacuated], and ends it otherwise. The last command for a failure domain in the log decides; one
+ * that asks for what already is the case changes nothing.
+ */
+@Serializable
+public data class SetEvacuation(
+    override val at: Timestamp,
+    public val domain: FailureDomain,
+    public val isEvacuated: Boolean,
+    public val operator: String,
+) : Command
--- a/programs/control/src/main/kotlin/sniperoute/control/message/OperatorPages.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/OperatorPages.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.control.message
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import sniperoute.process.codec.SerializableList
@@ -44,6 +45,10 @@
 @SerialName("sniperoute.control.message.DigestForm")
 public data class LiftQuarantineRequest(public val digest: String)
 
+/** The failure domain [domain] whose evacuation starts or ends. */
+@Serializable
+public data class EvacuationRequest(public val domain: String)
+
 /** A command was applied; its changes are part of [revision]. */
 @Serializable
 @SerialName("sniperoute.control.message.EffectReply")
@@ -84,6 +89,7 @@
     public val routers: SerializableList<RouterView>,
     public val moves: SerializableList<Move>,
     public val quarantine: SerializableList<String>,
+    public val evacuated: SerializableList<String> = persistentListOf(),
 )
 
 /** The declarations in force, as configuration [number]. */
--- a/programs/operator/src/main/kotlin/sniperoute/operator/ChangeCommands.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/ChangeCommands.kt
@@ -1,5 +1,5 @@
 /**
- * The commands `sniperoute keys`, `sniperoute moves` and `sniperoute quarantine`.
+ * The commands `sniperoute keys`, `sniperoute moves`, `sniperoute quarantine` and `sniperoute evacuate`.
  */
 package sniperoute.operator
 
@@ -9,6 +9,7 @@
 import sniperoute.common.administrationJson
 import sniperoute.common.fail
 import sniperoute.control.message.CommandReply
+import sniperoute.control.message.EvacuationRequest
 import sniperoute.control.message.InForceReply
 import sniperoute.control.message.KeyRequest
 import sniperoute.control.message.LiftQuarantineRequest
@@ -126,3 +127,11 @@
         else -> fail("$PROGRAM quarantine: use list or pardon", ExitStatus.USAGE)
     }
 }
+
+/** Starts or ends the evacuation of a failure domain. */
+internal fun evacuate(options: OperatorOptions) {
+    val client = administrationClientFromFile(options.settings)
+    val request = EvacuationRequest(options.argument(0, "the failure domain"))
+    val path = if (options.endsEvacuation) "/evacuations/end" else "/evacuations/start"
+    client.submitAndAwait(path, administrationJson.encodeToString(EvacuationRequest.serializer(), request), options)
+}
--- a/programs/operator/src/main/kotlin/sniperoute/operator/OperatorPrograms.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/OperatorPrograms.kt
@@ -15,13 +15,14 @@
 
 /** The command line options and arguments. */
 internal class OperatorOptions {
-    @Argument(index = 0, metaVar = "COMMAND", usage = "status, keys, moves, endpoints, quarantine or timeline")
+    @Argument(index = 0, metaVar = "COMMAND", usage = "status, keys, moves, endpoints, quarantine, evacuate or timeline")
     var command: String = ""
 
     @Argument(
         index = 1,
         metaVar = "WORDS",
-        usage = "keys make|grant|withdraw, moves list|start|watch|take-back, quarantine list|pardon; then the key, service or digest",
+        usage = "keys make|grant|withdraw, moves list|start|watch|take-back, quarantine list|pardon; then the key, service or digest; " +
+            "evacuate DOMAIN",
         multiValued = true,
     )
     var arguments: MutableList<String> = mutableListOf()
@@ -38,6 +39,9 @@
     @Option(name = "--deadline", metaVar = "SECONDS", usage = "the time within which a started move must be done")
     var deadlineSeconds: Long = DEFAULT_DEADLINE_SECONDS
 
+    @Option(name = "--end", usage = "end the evacuation of the failure domain")
+    var endsEvacuation: Boolean = false
+
     @Option(name = "--request", metaVar = "ID", usage = "show events about this request")
     var request: String? = null
 
@@ -72,6 +76,7 @@
         "moves" -> ::manageMoves
         "endpoints" -> ::showEndpoints
         "quarantine" -> ::manageQuarantine
+        "evacuate" -> ::evacuate
         "timeline" -> ::showTimeline
         else -> null
     }
--- a/programs/operator/src/main/kotlin/sniperoute/operator/StatusCommands.kt
+++ b/programs/operator/src/main/kotlin/sniperoute/operator/StatusCommands.kt
@@ -40,6 +40,7 @@
     }
     moves.forEach { appendLine("move            ${it.describe()}") }
     quarantine.forEach { appendLine("quarantined     $it") }
+    evacuated.forEach { appendLine("evacuated       $it") }
 }.trimEnd()
 
 private const val THOUSANDTHS_PER_PERCENT = 10.0
@@ -73,6 +74,7 @@
 private fun EndpointView.describe(): String {
     val state = when {
         leaving -> "leaving"
+        evacuated -> "evacuated"
         usable -> "usable"
         else -> "cooling down after $failures failures"
     }
--- a/programs/router/src/main/kotlin/sniperoute/router/EndpointPages.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/EndpointPages.kt
@@ -14,6 +14,7 @@
 import sniperoute.request.routing.decision.EndpointState
 import sniperoute.request.routing.decision.RoutingState
 import sniperoute.request.routing.decision.freeSlots
+import sniperoute.request.routing.decision.isEvacuated
 import sniperoute.request.routing.decision.isUsable
 
 /** The state of one endpoint at a router. */
@@ -28,6 +29,7 @@
     public val running: Int,
     public val freeSlots: Int,
     public val failures: Int,
+    public val evacuated: Boolean = false,
 )
 
 /** The state of all endpoints at a router. */
@@ -37,13 +39,13 @@
 /** Returns the page that shows the endpoints of [state] at [now]. */
 internal fun endpointsPage(state: RoutingState, now: Timestamp): WholeResponse {
     val views = state.endpoints.values
-        .map { it.toView(now) }
+        .map { it.toView(now, state.isEvacuated(it)) }
         .sortedBy { it.endpoint }
         .toPersistentList()
     return jsonResponse(HttpStatus.OK, administrationJson.encodeToString(EndpointsReply.serializer(), EndpointsReply(views)))
 }
 
-private fun EndpointState.toView(now: Timestamp): EndpointView = EndpointView(
+private fun EndpointState.toView(now: Timestamp, isEvacuated: Boolean): EndpointView = EndpointView(
     endpoint = endpoint.name.text,
     service = service.text,
     usable = isUsable(now),
@@ -53,4 +55,5 @@
     running = ownRequests.size,
     freeSlots = freeSlots(now),
     failures = failures,
+    evacuated = isEvacuated,
 )
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -104,7 +104,9 @@
     }
     val chosen = view.catalogue.chosenWeightsOrNull(service, request.hash)
     val current = view.catalogue.currentWeightsOrNull(service)
-    val isChosenServed = endpoints.values.any { it.service == service.name && it.serves(service, chosen) && !it.isLeaving }
+    val isChosenServed = endpoints.values.any {
+        it.service == service.name && it.serves(service, chosen) && !it.isLeaving && !isEvacuated(it)
+    }
     return if (chosen == current || isChosenServed) listOf(chosen) else listOf(chosen, current)
 }
 
@@ -128,6 +130,7 @@
     val names = if (service.isListed) members[service.name].orEmpty() else service.endpoints.map { it.name }
     val serving = names
         .mapNotNull { endpoints[it] }
+        .filterNot(::isEvacuated)
         .filter { it.servesNow(service, version, this) && it.isPermitted(now) && !isOutdated(it, request, now) }
     val usable = serving
         .filter { it.isUsable(now) }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/EndpointNotices.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/EndpointNotices.kt
@@ -9,6 +9,7 @@
 import sniperoute.request.admission.decision.RefusalKind
 import sniperoute.request.routing.message.AdmittedRequest
 import sniperoute.request.routing.message.ResponseLoadReport
+import sniperoute.version.message.ServiceName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -22,6 +23,13 @@
     return copy(hasAnnouncedLeaving = hasAnnouncedLeaving || load.isLeaving, pausedUntil = maxOf(pausedUntil, pause))
 }
 
+/** Returns the endpoints of [service] that don't leave. */
+internal fun RoutingState.stayingEndpoints(service: ServiceName): List<EndpointState> =
+    members[service]
+        .orEmpty()
+        .mapNotNull { endpoints[it] }
+        .filter { !it.isLeaving && !it.hasAnnouncedLeaving }
+
 /** The time over which callers return after a pause, as a share of the pause, and the shortest such time. */
 private const val RETURN_SHARE = 0.25
 private val MIN_RETURN_TIME: Duration = 250.milliseconds
@@ -33,11 +41,7 @@
  * not get them all at once.
  */
 internal fun RoutingState.pausedRefusalOrNull(request: AdmittedRequest, queueDeadline: Timestamp, now: Timestamp): Refusal? {
-    val staying = members[request.service]
-        .orEmpty()
-        .mapNotNull { endpoints[it] }
-        .filter { !it.isLeaving && !it.hasAnnouncedLeaving }
-    val pauseEnd = staying.minOfOrNull { it.pausedUntil } ?: return null
+    val pauseEnd = stayingEndpoints(request.service).filter { !isEvacuated(it) }.minOfOrNull { it.pausedUntil } ?: return null
     if (pauseEnd <= maxOf(queueDeadline, now)) return null
     val pause = pauseEnd - now
     val returnTime = maxOf(MIN_RETURN_TIME, pause * RETURN_SHARE)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -78,10 +78,12 @@
 private fun RoutingState.refusalOrNull(request: AdmittedRequest, now: Timestamp): Refusal? {
     val workspace = request.workspace
     val queueDeadline = retries[request.id]?.queueDeadline ?: request.queueDeadline
+    val evacuated = evacuatedRefusalOrNull(request)
     return when {
         view.catalogue.isQuarantined(request) -> quarantined()
         !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router lost its lease from the control replicas")
         request.key != null && request.key !in view.catalogue.keys -> Refusal(RefusalKind.UNKNOWN_KEY, "the key was withdrawn")
+        evacuated != null -> evacuated
         workspace != null && !hasTokens(request, now) -> overRateRefusalOrNull(workspace, request, queueDeadline, now)
         now < queueDeadline -> pausedRefusalOrNull(request, queueDeadline, now)
         request.queueDeadline < request.deadline ->
@@ -124,11 +126,14 @@
     val changing = known.count { it.isChanging }
     val ejected = known.count { now < maxOf(it.ejectedUntil, it.silentUntil) }
     val limited = known.count { !it.isPermitted(now) }
+    val evacuated = known.count(::isEvacuated)
     val own = known.sumOf { it.ownRequests.size }
     val others = known.sumOf { it.othersRunning(now) }
     return "no endpoint had a free slot in time: ${usable.size} of ${known.size} usable, ${usable.count { it.freeSlots(now) > 0 }} with " +
-        "a free slot, $changing changing weights, $ejected ejected, $limited at their request limit, $own own requests and $others of " +
-        "other routers in ${known.sumOf { it.endpoint.slots }} slots, shortest queue ${shortest.inWholeMilliseconds} ms, " +
+        "a free slot, $changing changing weights, $ejected ejected, $limited at their request limit, $evacuated evacuated, " +
+        "$own own requests and $others of other routers in ${known.sumOf {
+            it.endpoint.slots
+        }} slots, shortest queue ${shortest.inWholeMilliseconds} ms, " +
         "fleet ${fleet.number}"
 }
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -109,7 +109,8 @@
         val message = "the request may use ${request.tokens} tokens, more than the burst of ${workspace.burstTokens}"
         return unchanged().emit(Refuse(request.id, Refusal(RefusalKind.OVER_RATE, message)))
     }
-    pausedRefusalOrNull(request, request.queueDeadline, now)?.let { return unchanged().emit(Refuse(request.id, it)) }
+    val untimely = evacuatedRefusalOrNull(request) ?: pausedRefusalOrNull(request, request.queueDeadline, now)
+    if (untimely != null) return unchanged().emit(Refuse(request.id, untimely))
     val queued = QueuedRequest(request, workspace?.tokensPerSecond ?: 1)
     val queue = queueOf(request.service).enqueueOrNull(queued) ?: return unchanged().emit(
         Refuse(request.id, Refusal(RefusalKind.OVERLOADED, "the queue of this workspace is full", retryAfter = FULL_QUEUE_RETRY_DELAY)),
--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -13,11 +13,13 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
+import sniperoute.process.identity.FailureDomain
 import sniperoute.version.message.*
 
 /**
  * What is in force at [revision]; [configuration] is the number of the last accepted configuration. [blockQuarantines] are sets of
- * prompt blocks, by the names of their items; a prompt with a whole set must not run.
+ * prompt blocks, by the names of their items; a prompt with a whole set must not run. No new request goes to an endpoint in one of the
+ * [evacuated] failure domains.
  */
 public data class Catalogue(
     public val revision: Long,
@@ -31,6 +33,7 @@
     public val limits: CallerLimits? = null,
     public val weights: PersistentMap<ModelName, ModelWeights> = persistentMapOf(),
     public val blockQuarantines: PersistentMap<String, PersistentSet<BlockId>> = persistentMapOf(),
+    public val evacuated: PersistentSet<FailureDomain> = persistentSetOf(),
 )
 
 /** Returns the catalogue in which nothing is in force. */
@@ -79,6 +82,7 @@
     is BlockQuarantineItem -> copy(blockQuarantines = blockQuarantines.put(item.name.text, item.blocks.toPersistentSet()))
     is LimitsItem -> copy(limits = item.limits)
     is ModelWeightsItem -> copy(weights = weights.put(item.weights.model, item.weights))
+    is EvacuationItem -> copy(evacuated = evacuated.add(item.domain))
 }
 
 private fun Catalogue.remove(name: ItemName): Catalogue = when (name.kind) {
@@ -91,6 +95,7 @@
     ItemKind.BLOCK_QUARANTINE -> copy(blockQuarantines = blockQuarantines.remove(name.text))
     ItemKind.LIMITS -> copy(limits = null)
     ItemKind.MODEL_WEIGHTS -> copy(weights = weights.remove(ModelName(name.text)))
+    ItemKind.EVACUATION -> copy(evacuated = evacuated.remove(FailureDomain(name.text)))
 }
 
 private fun Collection<Route>.longestPathFirst(): PersistentList<Route> =
--- a/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
@@ -9,9 +9,10 @@
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.codec.SerializableList
 import sniperoute.process.codec.SerializableMap
+import sniperoute.process.identity.FailureDomain
 
 /** The kind of an item. */
-public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE, LIMITS, MODEL_WEIGHTS, BLOCK_QUARANTINE }
+public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE, LIMITS, MODEL_WEIGHTS, BLOCK_QUARANTINE, EVACUATION }
 
 /** The name of an item, unique within its kind. */
 @Serializable
@@ -83,6 +84,12 @@
     override val name: ItemName get() = ItemName(ItemKind.MODEL_WEIGHTS, weights.model.text)
 }
 
+/** A failure domain whose endpoints get no new requests, since [startedAt] by the leader's clock. */
+@Serializable
+public data class EvacuationItem(public val domain: FailureDomain, public val startedAt: Timestamp) : CatalogueItem {
+    override val name: ItemName get() = ItemName(ItemKind.EVACUATION, domain.text)
+}
+
 /** The change of an item in [revision]; when [item] is `null`, the item was removed. */
 @Serializable
 public data class ItemChange(public val revision: Long, public val name: ItemName, public val item: CatalogueItem?)
