Send on and place only what somebody waits for, and refuse what a late router can't serve in time

Cause: a router that is late placed requests in their order of arrival in the ring of its routing duty, with cancellations behind them, and sent what it had placed before it read the ends of its callers' connections. Its time went to requests that nobody waited for.

Change: one state "no longer wanted" in the run of a request, asked right before bytes leave; ends of connections are read before that when the thread is late. The routing duty takes all that has arrived before each step, ends and cancellations first. What is past its deadline, or past its objective after its time in the queue, is refused before a placement. New requests are refused by the measured lateness of the router's duties. A request that is simply answered leaves one event instead of three.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/EndpointClients.kt
@@ -27,7 +27,9 @@
 import sniperoute.connection.endpoint.message.RunningCall
 import sniperoute.connection.http.HttpThreads
 import sniperoute.process.clock.Clock
+import sniperoute.process.clock.Timestamp
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -37,6 +39,9 @@
 /** Endpoints are a few milliseconds away: one that does not accept a connection within this time counts as unreachable. */
 private val CONNECT_TIMEOUT: Duration = 300.milliseconds
 
+/** A caller that was there so long ago may have left since, without its end having been read by an event loop that is late. */
+public val UNREAD_LIMIT: Duration = 50.milliseconds
+
 /**
  * The header [name] in which a response repeats the request's ID. Every response must have it when [isRequired], else every one but the
  * first of a connection.
@@ -56,7 +61,7 @@
     public fun call(call: EndpointCall, onEvent: OnCallEvent): RunningCall {
         val loop = threads.group.firstOrNull { (it as EventLoop).inEventLoop() } as EventLoop? ?: threads.group.next() as EventLoop
         val pool = pools.computeIfAbsent(loop) { ConnectionPool(loop, clock, requestIdHeader, hostNames) }
-        val running = EventLoopCall(call, onEvent, loop, pool)
+        val running = EventLoopCall(call, onEvent, loop, pool, clock)
         if (loop.inEventLoop()) running.start() else loop.execute(running::start)
         return running
     }
@@ -128,13 +133,16 @@
     private val onEvent: OnCallEvent,
     private val loop: EventLoop,
     private val pool: ConnectionPool,
+    private val clock: Clock,
 ) : RunningCall {
     private var connection: EndpointConnection? = null
     private var isCancelled = false
     private var isReadEnabled = true
+    private var started = Timestamp.EARLIEST
 
     fun start() {
-        if (isCancelled) return
+        if (isCancelled || !call.isWanted()) return
+        started = clock()
         val idle = if (call.requiresNewConnection) null else pool.takeIdleOrNull(call)
         if (idle != null) {
             use(idle)
@@ -146,11 +154,17 @@
     private fun connected(channel: Channel?, reason: String?) {
         when {
             channel == null && !isCancelled -> onEvent(CallFailed(CallFailure.NOT_SENT, reason ?: "no connection was opened"))
-            channel != null && isCancelled -> channel.close()
-            channel != null -> use(channel)
+            channel == null -> Unit
+            // The connections that are ready at this moment are read first: one of them may be that of the caller, who has left.
+            clock() - started > UNREAD_LIMIT -> loop.schedule({ useIfWanted(channel) }, 0, TimeUnit.MILLISECONDS)
+            else -> useIfWanted(channel)
         }
     }
 
+    private fun useIfWanted(channel: Channel) {
+        if (isCancelled || !call.isWanted()) channel.close() else use(channel)
+    }
+
     private fun use(channel: Channel) {
         val handler = channel.connection
         connection = handler
--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/message/EndpointCalls.kt
@@ -17,7 +17,7 @@
  * for [idleTimeout] while reading is enabled, or when the content is longer than [maxContentBytes], unless that is `null`. Unless
  * [stallTimeout] is `null`, the call reports each such time without progress, and goes on. The head of the response is progress, and so
  * is each byte of its content, unless the [progress] is reported by [RunningCall.recordProgress]. A call that [requiresNewConnection] does
- * not reuse an idle one.
+ * not reuse an idle one. Nothing is sent, and no event follows, once [isWanted] returns `false`; it is asked at the last moment before.
  */
 public class EndpointCall(
     public val address: EndpointAddress,
@@ -31,6 +31,7 @@
     public val maxContentBytes: Long? = DEFAULT_MAX_CONTENT_BYTES,
     public val stallTimeout: Duration? = null,
     public val progress: ProgressSource = ProgressSource.RECEIVED_BYTES,
+    public val isWanted: () -> Boolean = { true },
 )
 
 /** Who tells that a call makes progress: its connection, for each byte, or the one that started the call. */
--- a/connection/src/test/kotlin/sniperoute/connection/EndpointClientsTest.kt
+++ b/connection/src/test/kotlin/sniperoute/connection/EndpointClientsTest.kt
@@ -74,6 +74,19 @@
         return all
     }
 
+    @Test
+    fun `nothing is sent over a connection that opens when the call is no longer wanted`() {
+        val socket = ServerSocket(0)
+        val address = EndpointAddress("127.0.0.1", socket.localPort)
+        var asked = 0
+        val call = EndpointCall(address, "r1", "GET", "/", idleTimeout = 5.seconds, isWanted = { asked++ == 0 })
+        val events = LinkedBlockingQueue<CallEvent>()
+        endpointClient(threads, systemClock()).call(call, events::put)
+        socket.accept().use { expectThat(it.getInputStream().read()).isEqualTo(-1) }
+        expectThat(events).isEmpty()
+        socket.close()
+    }
+
     private fun failure(port: Int, idleTimeout: Duration = 5.seconds): CallFailure =
         (call(port, idleTimeout = idleTimeout).last() as CallFailed).failure
 
--- a/process/src/main/kotlin/sniperoute/process/duty/Duties.kt
+++ b/process/src/main/kotlin/sniperoute/process/duty/Duties.kt
@@ -65,6 +65,54 @@
     }
 }
 
+/** The item that a duty works on next and the [rest] of its backlog; [item] is `null` if one was dropped instead. */
+public class TakenItem<B, I : Any>(public val item: I?, public val rest: B)
+
+/**
+ * The order in which a duty works on its items: [add] returns a backlog with one more item, and [takeOrNull] what is due, or `null` if
+ * the backlog is empty. [sizeOf] returns the number of items in a backlog.
+ */
+public class WorkOrder<B, I : Any>(
+    public val empty: B,
+    public val add: (backlog: B, item: I) -> B,
+    public val takeOrNull: (backlog: B) -> TakenItem<B, I>?,
+    public val sizeOf: (backlog: B) -> Int,
+)
+
+/**
+ * Returns a started duty as [startStateDuty] does, which works on its items by [order]. Before each step, it takes in all that has arrived,
+ * so that a late duty decides by the latest items. Its backlog has at most as many items as the ring.
+ */
+public fun <S, I : Any, B> startOrderedStateDuty(
+    inbox: Ring<I>,
+    order: WorkOrder<B, I>,
+    tick: Duration,
+    clock: Clock,
+    onFailure: OnDutyFailure,
+    initial: S,
+    step: (state: S, now: Timestamp, input: I?) -> S,
+): Duty = startDuty(inbox.name, onFailure) {
+    var state = initial
+    var backlog = order.empty
+    var nextTick = clock() + tick
+    while (!Thread.currentThread().isInterrupted) {
+        if (order.sizeOf(backlog) == 0) {
+            val wait = nextTick - clock()
+            val first = if (wait.isPositive()) inbox.takeOrNull(wait) else null
+            first?.let { backlog = order.add(backlog, it) }
+        }
+        backlog = inbox.drain(inbox.capacity - order.sizeOf(backlog)).fold(backlog, order.add)
+        order.takeOrNull(backlog)?.let { taken ->
+            backlog = taken.rest
+            taken.item?.let { state = step(state, clock(), it) }
+        }
+        if (clock() >= nextTick) {
+            state = step(state, clock(), null)
+            nextTick = clock() + tick
+        }
+    }
+}
+
 /** Returns a factory of daemon threads named `prefix-1`, `prefix-2` and so on, for the thread pools of a transport library. */
 public fun namedThreads(prefix: String): ThreadFactory {
     val count = AtomicInteger()
--- a/process/src/main/kotlin/sniperoute/process/ring/Rings.kt
+++ b/process/src/main/kotlin/sniperoute/process/ring/Rings.kt
@@ -37,7 +37,7 @@
     public fun takeOrNull(timeout: Duration): T? = queue.poll(timeout.inWholeMicroseconds, TimeUnit.MICROSECONDS)
 
     /** Removes and returns up to [limit] items without waiting. */
-    public fun drain(limit: Int): List<T> = buildList { queue.drainTo(this, limit) }
+    public fun drain(limit: Int): List<T> = if (limit <= 0 || queue.isEmpty()) emptyList() else buildList { queue.drainTo(this, limit) }
 }
 
 /** Returns an empty ring named [name] for at most [capacity] items. */
--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -63,6 +63,8 @@
     REQUEST_RETRIED(605, Severity.INFORMATION),
     REQUEST_RESUMED(606, Severity.INFORMATION),
     REQUEST_CANCELLED(607, Severity.INFORMATION),
+    REQUEST_NOT_SENT(608, Severity.INFORMATION),
+    ROUTER_LATE(609, Severity.WARNING),
     ONCE_ONLY_BEGUN(610, Severity.INFORMATION),
     ONCE_ONLY_FINISHED(611, Severity.INFORMATION),
     ONCE_ONLY_RELEASED(612, Severity.INFORMATION),
--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -42,7 +42,12 @@
 /** Returns the run of [incoming], or the refusal when it is not admitted. */
 internal fun createRun(incoming: IncomingRequest): Either<Refusal, RequestRun> = either {
     val head = incoming.head
-    val admission = incoming.view.admit(incoming.now, RequestTarget(head.path, null, incoming.hash), head.keyOrNull()).bind()
+    val admission = incoming.view
+        .admit(
+            incoming.now,
+            RequestTarget(head.path, null, incoming.hash, incoming.delay),
+            head.keyOrNull(),
+        ).bind()
     val prompt = promptOf(admission, incoming.exchange).bind()
     val salt = workspaceSalt(admission.workspace)
     val context = RequestContext(
--- a/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
@@ -17,10 +17,11 @@
 import sniperoute.request.run.RequestRunDependencies
 import sniperoute.version.codec.keyDigestOf
 import sniperoute.version.message.KeyDigest
+import kotlin.time.Duration
 
 /**
  * A request that was received at [now] over [exchange], with what its run needs: the [view] by which it is served, and the [owner] of
- * the calls that it begins in the once-only ledger.
+ * the calls that it begins in the once-only ledger. The duties of this router will work on it after the [delay].
  */
 public class IncomingRequest(
     public val exchange: Exchange,
@@ -29,6 +30,7 @@
     public val owner: LedgerOwner,
     public val dependencies: RequestRunDependencies,
     public val now: Timestamp,
+    public val delay: Duration = Duration.ZERO,
 ) {
     /** The head of the request. */
     public val head: RequestHead get() = exchange.head
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -71,6 +71,7 @@
 import sniperoute.request.routing.message.RoutingInput
 import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RequestRunDependencies
+import sniperoute.request.run.UnwantedStage
 import sniperoute.request.run.message.FrontEndProtocol
 import sniperoute.router.decision.SessionSettings
 import sniperoute.router.decision.newControlSession
@@ -82,6 +83,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 private const val ROUTING_RING_CAPACITY = 16_384
@@ -161,6 +163,16 @@
     Router(options, recorder, clock).run()
 }
 
+private val LATE_EVENT_INTERVAL = 1.seconds
+
+/** The requests that were refused since this router was late; an event [isDue] after the last of them if none was recorded for a while. */
+private data class LateRefusals(val total: Long = 0, val recorded: Timestamp = Timestamp.EARLIEST, val isDue: Boolean = false) {
+    fun add(now: Timestamp): LateRefusals {
+        val isDue = now - recorded >= LATE_EVENT_INTERVAL
+        return LateRefusals(total + 1, if (isDue) now else recorded, isDue)
+    }
+}
+
 private class Router(private val options: RouterOptions, private val recorder: EventRecorder, private val clock: Clock) {
     private val incarnation = newIncarnation()
     private val name = PeerName(options.location.vm, PeerRole.ROUTER, incarnation, null)
@@ -192,14 +204,18 @@
     private val metrics = newMetricsRegistry()
     private val requests = metrics.counter("sniperoute_requests", "Requests that ended.", "route", "outcome")
     private val firstTokens = metrics.secondsHistogram("sniperoute_first_token_seconds", "Time to the first token.", "route")
+    private val unwanted = metrics.counter("sniperoute_requests_unwanted", "Requests dropped as no longer wanted.", "stage")
+    private val lateness = RouterLateness(clock) { countUnwanted(UnwantedStage.ROUTING) }
+    private val refusedLate = AtomicReference(LateRefusals())
     private val dependencies = RequestRunDependencies(
-        sendToRouting = routingRing::send,
+        sendToRouting = lateness.counting(routingRing::send),
         call = client::call,
         requestLedger = session::requestLedger,
         record = recorder::record,
         clock = clock,
         ended = ::ended,
         bufferedBytes = bufferedBytes,
+        onUnwanted = ::countUnwanted,
     )
     private lateinit var onCatalogue: OnCatalogue
     private lateinit var sessionDuty: Duty
@@ -226,7 +242,7 @@
 
     private fun startDuties(seeds: List<VmName>) {
         onCatalogue = options.watchEndpoints(client, routingRing, recorder, onFailure)
-        val routing = RoutingEffectHandlers(runs, sessionRing, { session.requestLedger(it, true) {} }, routingState)
+        val routing = RoutingEffectHandlers(runs, sessionRing, { session.requestLedger(it, true) {} }, routingState, lateness)
         startRoutingDuty(routingRing, options.placement, routingState.get(), routing, clock, onFailure)
         val initial = newControlSession(seeds.toPersistentList(), clock(), options.session)
         sessionDuty = startSessionDuty(sessionRing, initial, session, clock, onFailure)
@@ -245,6 +261,9 @@
         metrics.gauge("sniperoute_buffered_bytes", "Bytes of responses that are collected before they are sent.") {
             bufferedBytes.heldBytes.toDouble()
         }
+        metrics.gauge("sniperoute_lateness_seconds", "How long a new request would wait for the duties of this router.") {
+            lateness.currentDelay().toDouble(DurationUnit.SECONDS)
+        }
         metrics.gauge("sniperoute_known_pieces", "Cached pieces that this router knows of.") {
             routingState
                 .get()
@@ -258,15 +277,19 @@
         val front = options.frontEnd
         val id = front.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.withSuffix() else it }
         val incoming =
-            IncomingRequest(exchange, id, session.view.get(), LedgerOwner(options.location.vm, incarnation, id.text), dependencies, clock())
+            IncomingRequest(
+                exchange = exchange,
+                id = id,
+                view = session.view.get(),
+                owner = LedgerOwner(options.location.vm, incarnation, id.text),
+                dependencies = dependencies,
+                now = clock(),
+                delay = lateness.delayOf(exchange),
+            )
         val run = front.createRun(incoming).flatMap { if (isTaken(it, incoming.now)) it.right() else drainingRefusal.left() }
         run.fold(
             ifLeft = { refusal ->
-                recorder.record(
-                    EventKind.REQUEST_REFUSED,
-                    EventSubject(request = id.text, outcome = refusal.outcome.text),
-                    "${refusal.kind.text}: ${refusal.message}",
-                )
+                recordRefusal(id, refusal, incoming.delay)
                 requests.labelValues("none", refusal.outcome.text).inc()
                 exchange.reply(options.frontEnd.protocol.refusalResponse(refusal, id))
             },
@@ -277,6 +300,27 @@
         )
     }
 
+    /** Records one event a second, not one for each request, while this router is too late to serve them. */
+    private fun recordRefusal(id: RequestId, refusal: Refusal, delay: Duration) {
+        if (refusal.kind == RefusalKind.ROUTER_LATE) {
+            val counted = refusedLate.updateAndGet { it.add(clock()) }
+            if (counted.isDue) {
+                recorder.record(
+                    EventKind.ROUTER_LATE,
+                    detail = "late by ${delay.inWholeMilliseconds} ms, ${counted.total} requests refused for it since the start",
+                )
+            }
+        } else {
+            recorder.record(
+                EventKind.REQUEST_REFUSED,
+                EventSubject(request = id.text, outcome = refusal.outcome.text),
+                "${refusal.kind.text}: ${refusal.message}",
+            )
+        }
+    }
+
+    private fun countUnwanted(stage: UnwantedStage) = unwanted.labelValues(stage.text).inc()
+
     private fun isTaken(run: RequestRun, now: Timestamp): Boolean =
         stop.get()?.takes(run.admitted.route, durations.get(), now) ?: true
 
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -8,14 +8,19 @@
 import sniperoute.process.clock.Clock
 import sniperoute.process.duty.Duty
 import sniperoute.process.duty.OnDutyFailure
-import sniperoute.process.duty.startStateDuty
+import sniperoute.process.duty.TakenItem
+import sniperoute.process.duty.WorkOrder
+import sniperoute.process.duty.startOrderedStateDuty
 import sniperoute.process.ring.Ring
 import sniperoute.request.ledger.message.CrashNotice
 import sniperoute.request.ledger.message.InterruptionNotice
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.ledger.message.ServedBlocksNotice
 import sniperoute.request.routing.decision.PlacementPolicy
+import sniperoute.request.routing.decision.RoutingBacklog
 import sniperoute.request.routing.decision.RoutingState
+import sniperoute.request.routing.decision.add
+import sniperoute.request.routing.decision.dueOrNull
 import sniperoute.request.routing.decision.step
 import sniperoute.request.routing.message.*
 import sniperoute.request.run.RequestRun
@@ -42,6 +47,7 @@
     val session: Ring<SessionInput>,
     val requestLedger: (LedgerRequest) -> Unit,
     val latestState: AtomicReference<RoutingState>,
+    val lateness: RouterLateness,
 )
 
 /** Returns the running duty. */
@@ -52,14 +58,27 @@
     handlers: RoutingEffectHandlers,
     clock: Clock,
     onFailure: OnDutyFailure,
-): Duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
+): Duty = startOrderedStateDuty(inbox, handlers.lateness.workOrder(), TICK, clock, onFailure, initial) { state, now, input ->
     val step = state.step(policy, now, input)
     handlers.latestState.set(step.state)
+    if (input is RequestAdmitted) handlers.lateness.onTaken()
     step.effects.forEach(handlers::perform)
     if (step.state.evidence !== state.evidence) handlers.session.offer(EvidenceChanged(step.state.evidenceOfMoves().toReport()))
     step.state
 }
 
+private fun RouterLateness.workOrder() = WorkOrder<RoutingBacklog, RoutingInput>(
+    empty = RoutingBacklog(),
+    add = RoutingBacklog::add,
+    takeOrNull = { backlog ->
+        backlog.dueOrNull()?.let { due ->
+            if (due.input == null) onDropped()
+            TakenItem(due.input, due.rest)
+        }
+    },
+    sizeOf = RoutingBacklog::size,
+)
+
 /**
  * Sends [input] to the routing duty and returns whether it will arrive. A new request that finds the ring full is refused. Whatever else
  * happens to a request waits for room: routing would count the request as in flight for good without it.
@@ -103,5 +122,9 @@
 
 private fun RoutingEffectHandlers.performAtRun(id: RequestId, effect: RoutingEffect) {
     val run = runs[id] ?: return
-    run.onThread { run.perform(effect) }
+    val emitted = lateness.now()
+    run.onThread {
+        lateness.onHandedOver(emitted)
+        run.perform(effect, emitted)
+    }
 }
--- a/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Admissions.kt
@@ -15,6 +15,7 @@
 import sniperoute.version.message.Route
 import sniperoute.version.message.Service
 import sniperoute.version.message.WorkspaceName
+import kotlin.time.Duration
 
 /** The catalogue by which a router may serve requests until its lease ends. */
 public data class ServingView(public val catalogue: Catalogue, public val leaseEnd: Timestamp)
@@ -30,8 +31,16 @@
     public val service: Service,
 )
 
-/** The path and host of a request; [hash] spreads requests over the shares of a route. */
-public data class RequestTarget(public val path: String, public val host: String?, public val hash: Long)
+/**
+ * The path and host of a request; [hash] spreads requests over the shares of a route. The request will wait for [delay] until the duties of
+ * this router work on it.
+ */
+public data class RequestTarget(
+    public val path: String,
+    public val host: String?,
+    public val hash: Long,
+    public val delay: Duration = Duration.ZERO,
+)
 
 /** Returns the admission of a request for [target] with [key], or why it is refused at [now]. */
 public fun ServingView.admit(now: Timestamp, target: RequestTarget, key: KeyDigest?): Either<Refusal, Admission> = either {
@@ -39,6 +48,7 @@
     val route = ensureNotNull(catalogue.routeOrNull(target.path, target.host)) {
         Refusal(RefusalKind.UNKNOWN_ROUTE, "no route matches ${target.host.orEmpty()}${target.path}")
     }
+    latenessRefusalOrNull(route, target.delay, target.hash)?.let { raise(it) }
     val service = ensureNotNull(catalogue.services[route.serviceFor(target.hash)]) {
         Refusal(RefusalKind.NO_ENDPOINT, "the service of route ${route.name} is not configured")
     }
--- a/request/src/main/kotlin/sniperoute/request/admission/decision/Refusals.kt
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/Refusals.kt
@@ -32,6 +32,7 @@
     ENDPOINT_FAILED(502, "endpoint_failed"),
     NOT_READY(503, "not_ready"),
     OVERLOADED(503, "overloaded"),
+    ROUTER_LATE(503, "router_late"),
     NO_ENDPOINT(503, "no_endpoint"),
     DEADLINE(504, "deadline_passed"),
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -7,6 +7,7 @@
 import sniperoute.request.admission.decision.isReady
 import sniperoute.request.routing.message.AdmittedRequest
 import sniperoute.request.routing.message.Dispatch
+import sniperoute.request.routing.message.PlacementReason
 import sniperoute.version.message.Service
 import sniperoute.version.message.ServiceName
 import sniperoute.version.message.WeightsVersion
@@ -14,9 +15,9 @@
 import sniperoute.version.message.isLimited
 import kotlin.time.Duration.Companion.seconds
 
-/** Returns the state after every request of [service] that can be sent at [now] was dispatched, in fair order. */
+/** Returns the state after late requests of [service] were refused and each other that can be sent at [now] dispatched, in fair order. */
 internal fun RoutingState.drain(service: ServiceName, policy: PlacementPolicy, now: Timestamp): RoutingStep {
-    var step = unchanged()
+    var step = refuseLate(service, now)
     while (true) {
         val next = step.state.dispatchOneOrNull(service, policy, now) ?: break
         step = step.then { next }
@@ -126,10 +127,18 @@
         )
 }
 
-/** Describes for people what the choice was based on. */
-private fun RoutingState.reason(request: AdmittedRequest, target: DispatchTarget, endpoint: EndpointState, now: Timestamp): String {
-    val report = endpoint.report?.let { "load report ${(now - it.at).inWholeMilliseconds} ms old" } ?: "no load report"
-    val waited = (now - request.arrived).inWholeMilliseconds
-    return "of ${target.candidates} candidates, ${target.placement.missedTokens} of ${request.promptTokens} tokens to compute, " +
-        "${endpoint.ownRequests.size} own requests in flight, $report, fleet ${fleet.number}, waited $waited ms"
-}
+/** Returns what the choice was based on, for people. */
+private fun RoutingState.reason(
+    request: AdmittedRequest,
+    target: DispatchTarget,
+    endpoint: EndpointState,
+    now: Timestamp,
+) = PlacementReason(
+    candidates = target.candidates,
+    missedTokens = target.placement.missedTokens,
+    promptTokens = request.promptTokens,
+    ownRequests = endpoint.ownRequests.size,
+    reportAge = endpoint.report?.let { now - it.at },
+    fleet = fleet.number,
+    waited = now - request.arrived,
+)
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/QueuedRequests.kt
@@ -54,9 +54,27 @@
 internal fun RoutingState.refuseUnservable(now: Timestamp): RoutingStep =
     queues.keys.fold(unchanged()) { step, service -> step.then { it.refuseUnservable(service, now) } }
 
-private fun RoutingState.refuseUnservable(service: ServiceName, now: Timestamp): RoutingStep {
+private fun RoutingState.refuseUnservable(service: ServiceName, now: Timestamp): RoutingStep =
+    refuseWhere(service) { refusalOrNull(it, now) }
+
+/** Returns the state without the queued requests of [service] whose answers would be late wherever they were sent at [now]. */
+internal fun RoutingState.refuseLate(service: ServiceName, now: Timestamp): RoutingStep =
+    refuseWhere(service) { lateRefusalOrNull(it, now) }
+
+/**
+ * Returns the refusal of a request that is no longer wanted, since its deadline has passed, or that has waited for as long as it may and
+ * can't be answered within its objective any more; `null` while it may be sent. One that was sent before is repeated up to its deadline.
+ */
+internal fun RoutingState.lateRefusalOrNull(request: AdmittedRequest, now: Timestamp): Refusal? = when {
+    now >= request.deadline -> Refusal(RefusalKind.DEADLINE, "the deadline passed before the request could be sent")
+    request.id !in retries && now >= maxOf(request.queueDeadline, request.arrived + request.route.objectiveMilliseconds.milliseconds) ->
+        Refusal(RefusalKind.OVERLOADED, "the objective passed before the request could be sent", retryAfter = retryAfter(request))
+    else -> null
+}
+
+private fun RoutingState.refuseWhere(service: ServiceName, refusalOrNull: (AdmittedRequest) -> Refusal?): RoutingStep {
     val refused = queueOf(service).requests().mapNotNull { queued ->
-        refusalOrNull(queued.request, now)?.let { queued.request.id to it }
+        refusalOrNull(queued.request)?.let { queued.request.id to it }
     }
     if (refused.isEmpty()) return unchanged()
     val ids = refused.map { it.first }.toSet()
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -100,10 +100,12 @@
     queues.keys.fold(unchanged()) { step, service -> step.then { it.drain(service, policy, now) } }
 
 private fun RoutingState.onAdmitted(request: AdmittedRequest, policy: PlacementPolicy, now: Timestamp): RoutingStep {
-    if (view.catalogue.isQuarantined(request)) return unchanged().emit(Refuse(request.id, quarantined()))
-    if (!view.isReady(now)) {
-        return unchanged().emit(Refuse(request.id, Refusal(RefusalKind.NOT_READY, "this router has no lease")))
+    val refusal = when {
+        view.catalogue.isQuarantined(request) -> quarantined()
+        !view.isReady(now) -> Refusal(RefusalKind.NOT_READY, "this router has no lease")
+        else -> lateRefusalOrNull(request, now)
     }
+    if (refusal != null) return unchanged().emit(Refuse(request.id, refusal))
     val workspace = workspaceOrNull(request)
     if (workspace != null && workspace.isLimited && request.tokens > workspace.burstTokens) {
         val message = "the request may use ${request.tokens} tokens, more than the burst of ${workspace.burstTokens}"
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -182,9 +182,30 @@
     public val isFresh: Boolean,
     public val importFrom: StoreAddress? = null,
     public val storeTo: StoreAddress? = null,
-    public val reason: String = "",
+    public val reason: PlacementReason? = null,
 ) : RoutingEffect
 
+/**
+ * What the choice of an endpoint was based on: the number of candidates, the tokens of the prompt and those to compute, this router's
+ * requests in flight there, the age of the endpoint's load report, the fleet view, and how long the request had waited.
+ */
+public data class PlacementReason(
+    public val candidates: Int,
+    public val missedTokens: Long,
+    public val promptTokens: Long,
+    public val ownRequests: Int,
+    public val reportAge: Duration?,
+    public val fleet: Long,
+    public val waited: Duration,
+) {
+    /** Returns the reason as text; it is not written for each request, since that takes processor time. */
+    public fun describe(): String {
+        val report = reportAge?.let { "load report ${it.inWholeMilliseconds} ms old" } ?: "no load report"
+        return "of $candidates candidates, $missedTokens of $promptTokens tokens to compute, $ownRequests own requests in flight, " +
+            "$report, fleet $fleet, waited ${waited.inWholeMilliseconds} ms"
+    }
+}
+
 /** Respond to the request with [refusal]. */
 public data class Refuse(public val id: RequestId, public val refusal: Refusal) : RoutingEffect
 
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import sniperoute.connection.endpoint.CallEndpoint
+import sniperoute.connection.endpoint.UNREAD_LIMIT
 import sniperoute.connection.endpoint.message.CallEvent
 import sniperoute.connection.endpoint.message.CallStalled
 import sniperoute.connection.endpoint.message.EndpointAddress
@@ -50,6 +51,18 @@
 /** Called at the end of a run; [firstToken] is the time at which the first content was received, `null` if there was none. */
 public typealias OnRunEnd = (run: RequestRun, outcome: Outcome, firstToken: Timestamp?) -> Unit
 
+/** Where a request was when it was seen to be no longer wanted. */
+public enum class UnwantedStage(public val text: String) {
+    /** In the ring of the routing duty. */
+    ROUTING("routing"),
+
+    /** Placed, and not passed on to a connection. */
+    PLACED("placed"),
+
+    /** Waiting for a connection to its endpoint. */
+    CONNECTING("connecting"),
+}
+
 /** The functions of the process that a run uses, and the budget of the bytes that the buffered responses of all runs hold. */
 public class RequestRunDependencies(
     public val sendToRouting: SendToRouting,
@@ -59,6 +72,7 @@
     public val clock: Clock,
     public val ended: OnRunEnd,
     public val bufferedBytes: ByteBudget,
+    public val onUnwanted: (stage: UnwantedStage) -> Unit = {},
 )
 
 /**
@@ -78,6 +92,9 @@
     public val answerDeadline: Timestamp? = null,
 )
 
+/** An event at [at] that is recorded later or not at all. */
+private class UnrecordedEvent(val kind: EventKind, val subject: EventSubject, val at: Timestamp, val describe: () -> String)
+
 private const val MAX_RECORDED_BYTES = 16 * 1024
 private val MIN_IDLE_TIMEOUT = 10.milliseconds
 
@@ -107,29 +124,38 @@
     private var hasEnded = false
     private var isCallerDisconnected = false
 
+    /** What is recorded of a request only once something goes wrong with it. */
+    private var unrecorded: PersistentList<UnrecordedEvent> = persistentListOf()
+
     /** The events of a stalled call since routing was asked whether another attempt replaces it; `null` while nothing was asked. */
     private var heldEvents: PersistentList<CallEvent>? = null
 
     /** Set when the run was cancelled; a dispatch that routing emitted before the cancellation must not be sent. */
     private var isCancelled = false
 
+    /** Whether the answer is still wanted. Asked at the last moment before bytes leave for an endpoint, wherever the request waited. */
+    private val isWanted: Boolean get() = !hasEnded && !isCancelled && dependencies.clock() < admitted.deadline
+
     /** Begins the run: at the ledger if the call may run only once and has an idempotency key, else at routing. */
     public fun begin() {
         exchange.setListener(
             CallerConnectionListener(onWritabilityChanged = { call?.setReading(it) }, onDisconnected = ::onCallerDisconnected),
         )
         if (isCallerDisconnected) return
-        record(EventKind.REQUEST_ADMITTED, detail = describeRequest())
+        keep(EventKind.REQUEST_ADMITTED, ::describeRequest)
         context.answerDeadline?.let { cancelTimer = exchange.after(it - dependencies.clock(), ::onDeadline) }
         val key = context.ledgerKey
         if (key == null) route() else dependencies.requestLedger(BeginCall(key, context.owner, admitted.digest), false, ::onLedgerReply)
     }
 
-    /** Performs an effect of routing. */
-    public fun perform(effect: RoutingEffect) {
-        if (hasEnded || isCancelled) return
+    /** Performs an effect that routing emitted at [emitted]. */
+    public fun perform(effect: RoutingEffect, emitted: Timestamp = dependencies.clock()) {
+        if (hasEnded || isCancelled) {
+            if (effect is Dispatch) recordUnwanted(effect, UnwantedStage.PLACED)
+            return
+        }
         when (effect) {
-            is Dispatch -> dispatch(effect)
+            is Dispatch -> dispatchOnceRead(effect, emitted)
             is Refuse -> refuse(effect.refusal)
             is KeepAttempt -> releaseHeldEvents()
             is GiveUp -> giveUp(effect.reason)
@@ -174,6 +200,31 @@
         end(Outcome.RAN)
     }
 
+    /**
+     * Dispatches at once, unless the thread of the caller's connection is late. Then what its connections have received is read before,
+     * since the caller may have left.
+     */
+    private fun dispatchOnceRead(dispatch: Dispatch, emitted: Timestamp) {
+        val now = dependencies.clock()
+        when {
+            !isWanted -> {
+                recordUnwanted(dispatch, UnwantedStage.PLACED)
+                onDeadline()
+            }
+            now - emitted > UNREAD_LIMIT -> exchange.after(Duration.ZERO) { perform(dispatch, now) }
+            else -> dispatch(dispatch)
+        }
+    }
+
+    private fun recordUnwanted(dispatch: Dispatch, stage: UnwantedStage) {
+        dependencies.onUnwanted(stage)
+        dependencies.record(
+            EventKind.REQUEST_NOT_SENT,
+            EventSubject(request = admitted.id.text, endpoint = dispatch.endpoint.name.text),
+            "${stage.text}, no longer wanted ${(dependencies.clock() - admitted.arrived).inWholeMilliseconds} ms after its arrival",
+        )
+    }
+
     private fun dispatch(dispatch: Dispatch) {
         if (currentDispatch != null) abandonAttempt()
         heldEvents = null
@@ -185,7 +236,8 @@
             assembly.delivered > 0 -> EventKind.REQUEST_RESUMED
             else -> EventKind.REQUEST_RETRIED
         }
-        record(kind, detail = "attempt ${dispatch.attempt} ${dispatch.reason}")
+        val describe = { "attempt ${dispatch.attempt} ${dispatch.reason?.describe().orEmpty()}" }
+        if (kind == EventKind.REQUEST_PLACED) keep(kind, describe) else record(kind, detail = describe())
         call = dependencies.call(dispatch.toCall()) { event -> onCallEvent(dispatch, event) }
     }
 
@@ -205,9 +257,16 @@
             maxContentBytes = null,
             stallTimeout = context.protocol.stallTimeout(admitted, context.wantsStream, left),
             progress = ProgressSource.REPORTED,
+            isWanted = { mayStillSend(this) },
         )
     }
 
+    private fun mayStillSend(dispatch: Dispatch): Boolean {
+        val isWanted = isWanted && currentDispatch === dispatch
+        if (!isWanted) recordUnwanted(dispatch, UnwantedStage.CONNECTING)
+        return isWanted
+    }
+
     private fun onCallEvent(dispatch: Dispatch, event: CallEvent) = exchange.onConnectionThread {
         val held = heldEvents
         if (!hasEnded && currentDispatch === dispatch && held != null) {
@@ -279,10 +338,22 @@
         val usage = assembly.usage
         val result = AttemptCompleted(usage?.promptTokens, usage?.cachedTokens, usage?.answerTokens, isFault)
         dependencies.sendToRouting(AttemptEnded(admitted.id, result))
-        record(EventKind.REQUEST_ANSWERED, Outcome.RAN)
+        recordAnswered()
         end(Outcome.RAN)
     }
 
+    /** Records one event for a request that its first attempt answered. Its admission and placement are part of the detail. */
+    private fun recordAnswered() {
+        val now = dependencies.clock()
+        val placed = if (unrecorded.isEmpty()) "" else ", sent after ${(sentAt - admitted.arrived).inWholeMilliseconds} ms"
+        unrecorded = unrecorded.clear()
+        record(
+            EventKind.REQUEST_ANSWERED,
+            Outcome.RAN,
+            "route ${admitted.route.name}, ${(now - admitted.arrived).inWholeMilliseconds} ms$placed",
+        )
+    }
+
     private fun failAttempt(failure: FailAttempt) {
         if (!failure.kind.isNotRun) mayHaveRun = true
         faultResponse = failure.response ?: faultResponse
@@ -431,17 +502,26 @@
     public fun onThread(action: () -> Unit): Unit = exchange.onConnectionThread(action)
 
     private fun record(kind: EventKind, outcome: Outcome? = null, detail: String = "") {
-        val subject = EventSubject(
-            request = admitted.id.text,
-            workspace = admitted.workspace?.text,
-            endpoint = currentDispatch?.endpoint?.name?.text,
-            weights = currentDispatch?.weights?.text,
-            configuration = context.configuration,
-            outcome = outcome?.text,
-        )
-        dependencies.record(kind, subject, detail)
+        val kept = unrecorded
+        unrecorded = kept.clear()
+        val now = dependencies.clock()
+        kept.forEach { dependencies.record(it.kind, it.subject, "${it.describe()}; ${(now - it.at).inWholeMilliseconds} ms ago") }
+        dependencies.record(kind, subject(outcome), detail)
     }
 
+    private fun keep(kind: EventKind, describe: () -> String) {
+        unrecorded = unrecorded.add(UnrecordedEvent(kind, subject(null), dependencies.clock(), describe))
+    }
+
+    private fun subject(outcome: Outcome?) = EventSubject(
+        request = admitted.id.text,
+        workspace = admitted.workspace?.text,
+        endpoint = currentDispatch?.endpoint?.name?.text,
+        weights = currentDispatch?.weights?.text,
+        configuration = context.configuration,
+        outcome = outcome?.text,
+    )
+
     private fun ResponseHead.forCaller(outcome: Outcome?) = ResponseHead(
         status,
         context.protocol.responseHeaders(this, admitted.id, outcome),
--- a/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/RequestRunTest.kt
@@ -9,20 +9,31 @@
 import sniperoute.connection.http.*
 import sniperoute.process.memory.byteBudget
 import sniperoute.request.routing.message.*
+import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RequestRunDependencies
+import sniperoute.request.run.UnwantedStage
 import sniperoute.request.run.requestRun
 import sniperoute.version.message.*
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 class RequestRunTest {
     private val sent = mutableListOf<RoutingInput>()
     private val content = StringBuilder()
     private val cancelled = mutableListOf<EndpointAddress>()
     private val listeners = mutableListOf<OnCallEvent>()
+    private val calls = mutableListOf<EndpointCall>()
+    private val timers = mutableListOf<() -> Unit>()
+    private val unwanted = mutableListOf<UnwantedStage>()
+    private var caller: CallerConnectionListener? = null
+    private var now = start
 
     private inner class PlayedExchange(private val isConnected: Boolean) : Exchange {
         override val head = RequestHead("GET", "/v1", "", persistentListOf())
@@ -45,10 +56,14 @@
         }
 
         override fun setListener(listener: CallerConnectionListener) {
+            caller = listener
             if (!isConnected) listener.onDisconnected()
         }
 
-        override fun after(delay: Duration, action: () -> Unit): CancelTimer = {}
+        override fun after(delay: Duration, action: () -> Unit): CancelTimer {
+            timers += action
+            return {}
+        }
 
         override fun onConnectionThread(action: () -> Unit) = action()
     }
@@ -61,6 +76,7 @@
             sendToRouting = sent::add,
             call = { call, onEvent ->
                 listeners += onEvent
+                calls += call
                 object : RunningCall {
                     override fun cancel() {
                         cancelled += call.address
@@ -73,9 +89,10 @@
             },
             requestLedger = { _, _, _ -> },
             record = { _, _, _ -> },
-            clock = { start },
+            clock = { now },
             ended = { _, _, _ -> },
             bufferedBytes = byteBudget(Long.MAX_VALUE),
+            onUnwanted = unwanted::add,
         ),
     )
 
@@ -111,6 +128,49 @@
         }
     }
 
+    @Test
+    fun `a thread that stood still reads the end of the caller's connection before it sends the request`() {
+        listOf(true, false).forEach { leaves ->
+            listOf(calls, timers, unwanted).forEach { it.clear() }
+            now = start
+            val run = run()
+            run.begin()
+            now = start + 1.seconds
+            run.perform(dispatch(1), emitted = start)
+            expectThat(calls).isEmpty()
+            if (leaves) checkNotNull(caller).onDisconnected()
+            timers.last().invoke()
+            expectThat(calls.size).isEqualTo(if (leaves) 0 else 1)
+            expectThat(unwanted).isEqualTo(if (leaves) mutableListOf(UnwantedStage.PLACED) else mutableListOf())
+        }
+    }
+
+    @Test
+    fun `nothing is sent once the deadline has passed, and a call that waits for its connection learns that it is no longer wanted`() {
+        val late = run()
+        late.begin()
+        now = late.admitted.deadline
+        late.perform(dispatch(1))
+        expectThat(calls).isEmpty()
+        expectThat(sent.last()).isEqualTo(RequestCancelled(RequestId("1")))
+        now = start
+        listOf<
+            (
+                RequestRun,
+            ) -> Unit,
+        >({ checkNotNull(caller).onDisconnected() }, { now = it.admitted.deadline }, { it.endAtStop() }).forEach {
+            now = start
+            unwanted.clear()
+            val run = run()
+            run.begin()
+            run.perform(dispatch(1))
+            expectThat(calls.last().isWanted()).isTrue()
+            it(run)
+            expectThat(calls.last().isWanted()).isFalse()
+            expectThat(unwanted).containsExactly(UnwantedStage.CONNECTING)
+        }
+    }
+
     @Test
     fun `a request in progress when the process ends is answered with what is known of it, never as not run once it was sent`() {
         val sentBefore = run()
