Look only at this router's own endpoints and queues at each tick

Cause: each tick of the routing duty built the workload at every endpoint and went through empty queues, which an idle router of many endpoints pays for 20 times a second, mostly interpreted.

Change: workloads are built for endpoints that have requests of this router or had some at the last report; an empty queue is known by its size; pools of tokens that did not change are not put again; the served weights are looked up only while a move is under way.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -104,8 +104,9 @@
     }
     val chosen = view.catalogue.chosenWeightsOrNull(service, request.hash)
     val current = view.catalogue.currentWeightsOrNull(service)
+    if (chosen == current) return listOf(chosen)
     val isChosenServed = endpoints.values.any { it.service == service.name && it.serves(service, chosen) && !it.isLeaving }
-    return if (chosen == current || isChosenServed) listOf(chosen) else listOf(chosen, current)
+    return if (isChosenServed) listOf(chosen) else listOf(chosen, current)
 }
 
 private fun EndpointState.serves(service: Service, wanted: WeightsVersion?): Boolean = when {
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -17,6 +17,7 @@
 
 /** Returns the state after late requests of [service] were refused and each other that can be sent at [now] dispatched, in fair order. */
 internal fun RoutingState.drain(service: ServiceName, policy: PlacementPolicy, now: Timestamp): RoutingStep {
+    if (queueOf(service).size == 0) return unchanged()
     var step = refuseLate(service, now)
     while (true) {
         val next = step.state.dispatchOneOrNull(service, policy, now) ?: break
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/FairQueues.kt
@@ -26,8 +26,8 @@
 /** The queues of one class, and its virtual time. */
 public data class ClassQueue(public val virtualTime: Long, public val workspaces: PersistentMap<WorkspaceName, WorkspaceQueue>)
 
-/** All requests that wait for one service, by rank. Lower ranks go first. */
-public data class FairQueue(public val classes: PersistentMap<Int, ClassQueue>)
+/** All requests that wait for one service, by rank, and their number. Lower ranks go first. */
+public data class FairQueue(public val classes: PersistentMap<Int, ClassQueue>, public val size: Int = 0)
 
 /** Returns an empty queue. */
 public fun emptyFairQueue(): FairQueue = FairQueue(persistentMapOf())
@@ -52,10 +52,10 @@
     val own = classQueue.workspaces[queued.owner] ?: WorkspaceQueue(classQueue.virtualTime, persistentListOf())
     if (!atFront && own.requests.size >= MAX_QUEUED_PER_WORKSPACE) return null
     val longer = own.copy(requests = if (atFront) own.requests.add(0, queued) else own.requests.add(queued))
-    return withClass(rank, classQueue.copy(workspaces = classQueue.workspaces.put(queued.owner, longer)))
+    return withClass(rank, classQueue.copy(workspaces = classQueue.workspaces.put(queued.owner, longer)), size + 1)
 }
 
-private fun FairQueue.withClass(rank: Int, queue: ClassQueue): FairQueue = FairQueue(classes.put(rank, queue))
+private fun FairQueue.withClass(rank: Int, queue: ClassQueue, size: Int): FairQueue = FairQueue(classes.put(rank, queue), size)
 
 /** A request that was dequeued, and the rest of the queue. */
 public data class DequeuedRequest(public val request: QueuedRequest, public val rest: FairQueue)
@@ -69,7 +69,7 @@
 /** Returns the first request in fair order that [isEligible], or `null`. Of each workspace, the first [LOOK_AHEAD] requests are tried. */
 public fun FairQueue.dequeueOrNull(isEligible: (QueuedRequest) -> Boolean): DequeuedRequest? =
     classes.keys.sorted().firstNotNullOfOrNull { rank ->
-        classes[rank]?.dequeueOrNull(isEligible)?.let { (request, rest) -> DequeuedRequest(request, withClass(rank, rest)) }
+        classes[rank]?.dequeueOrNull(isEligible)?.let { (request, rest) -> DequeuedRequest(request, withClass(rank, rest, size - 1)) }
     }
 
 private data class DequeuedFromClass(val request: QueuedRequest, val rest: ClassQueue)
@@ -98,22 +98,23 @@
 
 /** Returns all requests in the queue. */
 public fun FairQueue.requests(): List<QueuedRequest> =
-    classes.values.flatMap { queue -> queue.workspaces.values.flatMap { it.requests } }
+    if (size == 0) emptyList() else classes.values.flatMap { queue -> queue.workspaces.values.flatMap { it.requests } }
 
 /** Returns the queue without the requests [ids]. */
-public fun FairQueue.without(ids: Set<RequestId>): FairQueue = FairQueue(
-    classes.mapValuesPersistent { queue ->
+public fun FairQueue.without(ids: Set<RequestId>): FairQueue {
+    val rest = classes.mapValuesPersistent { queue ->
         queue.copy(
             workspaces = queue.workspaces.mapValuesPersistent { own ->
                 own.copy(requests = own.requests.removeAll { it.request.id in ids })
             },
         )
-    },
-)
+    }
+    return FairQueue(rest, rest.values.sumOf { queue -> queue.workspaces.values.sumOf { it.requests.size } })
+}
 
 /** Returns the tokens of the requests of [workspace] in the queue. */
 public fun FairQueue.queuedTokens(workspace: WorkspaceName): Long =
-    classes.values.sumOf { queue -> queue.workspaces[workspace]?.requests?.sumOf { it.request.tokens } ?: 0 }
+    if (size == 0) 0 else classes.values.sumOf { queue -> queue.workspaces[workspace]?.requests?.sumOf { it.request.tokens } ?: 0 }
 
 private fun <K, V> PersistentMap<K, V>.mapValuesPersistent(change: (V) -> V): PersistentMap<K, V> =
     entries.fold(this) { all, (key, value) ->
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/TokenPools.kt
@@ -128,4 +128,5 @@
     }
 }
 
-private fun TokenPools.with(workspace: WorkspaceName, pool: TokenPool): TokenPools = TokenPools(pools.put(workspace, pool))
+private fun TokenPools.with(workspace: WorkspaceName, pool: TokenPool): TokenPools =
+    if (pools[workspace] === pool) this else TokenPools(pools.put(workspace, pool))
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -31,19 +31,22 @@
 }
 
 private fun RoutingState.reportChangedWorkload(now: Timestamp): RoutingStep {
-    val changed = endpoints.values
-        .map { it.workload() }
+    val changed = ownWorkloads()
         .filter { it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0)) }
     if (changed.isEmpty() && newlyCached.isEmpty()) return unchanged()
     return report(WorkloadReport(changed.toPersistentList(), newlyCached), reportedWorkloads, now)
 }
 
 private fun RoutingState.reportWholeWorkload(now: Timestamp): RoutingStep {
-    val whole = endpoints.values.map { it.workload() }.filter { it.running > 0 }
+    val whole = ownWorkloads().filter { it.running > 0 }
     return copy(nextCompleteReport = now + COMPLETE_REPORT_INTERVAL)
         .report(WorkloadReport(whole.toPersistentList(), newlyCached, isComplete = true), reportedWorkloads.clear(), now)
 }
 
+/** Returns the workloads at the endpoints that have requests of this router, or had some when it last reported; all others are 0. */
+private fun RoutingState.ownWorkloads(): List<EndpointWorkload> =
+    (running.values.map { it.endpoint } + reportedWorkloads.keys).distinct().mapNotNull { endpoints[it]?.workload() }
+
 private fun RoutingState.report(
     report: WorkloadReport,
     before: PersistentMap<EndpointName, EndpointWorkload>,
