Compute for each candidate of a placement only what ranks it

Cause: a placement takes the estimate of each candidate, in a process that has just started interpreted: sums of durations, a hash of each name that only breaks ties, and each endpoint's weights number read from text twice.

Change: costs are summed as numbers of nanoseconds, the hash is computed when two candidates tie, the queueing time for the best one only, and the number of weights is not read where an endpoint names the newest ones. Choices are unchanged up to rounding below a nanosecond.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -75,7 +75,8 @@
     val lowestRate = candidates.minOfOrNull { it.faultRate } ?: 0.0
     return candidates.fold(persistentMapOf()) { all, candidate ->
         val excess = (candidate.faultRate - lowestRate - MIN_FAULT_RATE_DIFFERENCE).coerceAtLeast(0.0)
-        val penalty = FAULT_PENALTY * excess + weightsPenalty(request, candidate, now)
+        val weights = weightsPenalty(request, candidate, now)
+        val penalty = if (excess > 0) FAULT_PENALTY * excess + weights else weights
         if (penalty.isPositive()) all.put(candidate.endpoint.name, penalty) else all
     }
 }
@@ -90,7 +91,10 @@
  * newer weights after these do not change the time.
  */
 private fun RoutingState.outdatedSinceOrNull(endpoint: EndpointState, request: AdmittedRequest): Timestamp? =
-    request.model?.let { targetWeights[it] }?.outdatedSinceOrNull(endpoint.weightsNumber(request.model))
+    request.model?.let { targetWeights[it] }?.let { targets ->
+        val isNewest = targets.lastOrNull()?.text == endpoint.weightsFor(request.model)?.text
+        if (isNewest) null else targets.outdatedSinceOrNull(endpoint.weightsNumber(request.model))
+    }
 
 /**
  * Returns the versions that may serve a request, in order of preference. A retry keeps the weights of the earlier attempts, unless the
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -48,6 +48,10 @@
 /** Smaller differences of expected times are ignored. */
 private val TIME_STEP: Duration = 2.milliseconds
 
+// Sums of numbers take a fraction of the processor time of sums of durations in a process that has just started.
+private val TIME_STEP_NANOSECONDS = TIME_STEP.inWholeNanoseconds
+private val HALF_BATCH_COST_NANOSECONDS = HALF_BATCH_COST.inWholeNanoseconds
+
 /**
  * Returns the policy that takes the endpoint with the earliest expected first token. Each token that misses the prefix cache counts
  * [recomputeWeight] times, since its computation delays not only this request but also all later ones at that engine. This weight
@@ -60,9 +64,9 @@
     val preferred = context.preferredEndpointOrNull(affinityKey)
     context.candidates
         .map { candidate -> context.estimate(candidate, affinityKey, weight, candidate.endpoint.name == preferred, now) }
-        .minWithOrNull(compareBy<Estimate> { it.timeSteps }.thenByDescending { it.hashWeight })
-        ?.takeIf { it.hasFreeSlot && it.queueingTime <= context.maxQueueingTime() }
-        ?.placement
+        .reduceOrNull { best, next -> if (next.isBefore(best)) next else best }
+        ?.takeIf { it.candidate.freeSlots(now) > 0 && it.queueingTime <= context.maxQueueingTime() }
+        ?.let { Placement(it.candidate.endpoint.name, it.missedTokens) }
 }
 
 /** A prefix is hot when clearly more than this number of requests in flight share it. */
@@ -84,16 +88,24 @@
 }
 
 /**
- * What is expected of a candidate: the time to first token with all costs in steps of [TIME_STEP], its weight in rendezvous hashing,
- * and the part of the time that earlier requests take.
+ * What is expected of a candidate: the time to first token with all costs in steps of [TIME_STEP], and its weight in rendezvous hashing. It
+ * is made for each candidate of each placement, so the rest is computed for the best one only.
  */
 private class Estimate(
-    val placement: Placement,
+    val candidate: EndpointState,
+    val missedTokens: Long,
+    val waitingTokens: Long,
     val timeSteps: Long,
-    val hashWeight: Long,
-    val hasFreeSlot: Boolean,
-    val queueingTime: Duration,
-)
+    affinityKey: Long,
+) {
+    private val hashWeight: Long by lazy(LazyThreadSafetyMode.NONE) { rendezvousWeight(affinityKey, candidate.endpoint.name.text) }
+
+    /** The part of the time that earlier requests take. */
+    val queueingTime: Duration get() = candidate.timePerToken * waitingTokens.toDouble()
+
+    fun isBefore(other: Estimate): Boolean =
+        if (timeSteps == other.timeSteps) hashWeight > other.hashWeight else timeSteps < other.timeSteps
+}
 
 /** The share of a route's objective that a request may wait behind others at an engine; the rest is for its own prompt. */
 private const val QUEUEING_SHARE = 0.8
@@ -110,22 +122,21 @@
     val missed = missedTokens(candidate)
     val counted = if (isPreferred) request.promptTokens - request.sharedTokens else missed
     val waiting = candidate.waitingTokens(now)
-    val computingTime = candidate.timePerToken * (waiting + counted * recomputeWeight)
-    val queueingTime = candidate.timePerToken * waiting.toDouble()
     val name = candidate.endpoint.name
-    val penalty = penalties[name] ?: Duration.ZERO
-    val steps = ((computingTime + candidate.batchCost(now) + penalty) / TIME_STEP).toLong()
-    return Estimate(Placement(name, missed), steps, rendezvousWeight(affinityKey, name.text), candidate.freeSlots(now) > 0, queueingTime)
+    val computing = candidate.timePerToken.inWholeNanoseconds * (waiting + counted * recomputeWeight)
+    val penalty = if (penalties.isEmpty()) 0L else penalties[name]?.inWholeNanoseconds ?: 0L
+    val steps = ((computing + candidate.batchCost(now) + penalty) / TIME_STEP_NANOSECONDS).toLong()
+    return Estimate(candidate, missed, waiting, steps, affinityKey)
 }
 
 /**
- * Returns the cost of one more request at this endpoint. It rises steeply towards the last free slot, as the waiting time of a queue
- * with random arrivals does. An endpoint without a free slot counts as if it had half a slot, so that a request may wait for it if
- * its prompt is cached there.
+ * Returns the cost of one more request at this endpoint in nanoseconds. It rises steeply towards the last free slot, as the waiting
+ * time of a queue with random arrivals does. An endpoint without a free slot counts as if it had half a slot, so that a request may wait
+ * for it if its prompt is cached there.
  */
-private fun EndpointState.batchCost(now: Timestamp): Duration {
+private fun EndpointState.batchCost(now: Timestamp): Double {
     val free = freeSlots(now).toDouble().coerceAtLeast(HALF_SLOT) / endpoint.slots
-    return HALF_BATCH_COST * ((1.0 - free) / free)
+    return HALF_BATCH_COST_NANOSECONDS * ((1.0 - free) / free)
 }
 
 private const val HALF_SLOT = 0.5
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -121,7 +121,10 @@
 )
 
 /** Target weights of a model, and when this router learned of them. */
-public data class TargetWeights(public val number: Long, public val seen: Timestamp)
+public data class TargetWeights(public val number: Long, public val seen: Timestamp) {
+    /** The number as endpoints name it. */
+    public val text: String = number.toString()
+}
 
 /** The upper bound on target weights that are kept for a model. */
 private const val MAX_TARGET_WEIGHTS = 16
