Give callers' connections one budget of memory and a bound on their number

Cause: a header line of four bytes becomes some hundred bytes of objects, bodies were collected in the direct memory that reading, writing and links use, an unfinished line kept its whole read buffer, and nothing bounded what all connections hold together.

Change: each connection counts what it holds (unfinished head with its lines, body, requests that wait or run, unread output) in a budget of a quarter of the heap; connections are bounded by the descriptors. Above a bound each peer address keeps its fair share, and of one above it the connections without a running request yield that held the most for the longest time: refused as not run, or closed. Requests ahead wait in the network while responses are not read. Bytes before a complete head, and header lines, are bounded by what the limits on heads allow, so that no client inside them meets the new bounds. Bodies are copied to the heap as they come; HttpObjectAggregator is gone. Pages of readiness and metrics have a budget of their own; control's pages use the same. Event 403, four metrics, settings descriptors and maxHeaderLines (headerLines for the native router).

Tests: CallerCrowdsTest starts both programs with the deploy file's flags, but 48 MB of heap, 8 MB of direct memory and 400 descriptors.

--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerConnections.kt
@@ -6,11 +6,11 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.DecoderException
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
@@ -26,34 +26,49 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import sniperoute.connection.http.codec.errorResponse
+import sniperoute.connection.http.decision.headCost
+import sniperoute.connection.http.decision.isReadOn
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger("sniperoute")
 
-/** A request and what handles it. */
-private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange)
+/** A request, what handles it, and what it costs in memory. */
+private class QueuedExchange(val exchange: NettyExchange, val handle: HandleExchange, val cost: Long)
 
 /** The longest initial line and headers, in bytes, that the decoder of a connection accepts. */
 internal data class DecodedHeadBytes(val initialLine: Int, val headers: Int)
 
+/** How a server handles requests, and how it refuses one that it has no memory for. */
+internal class ExchangeHandlers(val handle: HandleExchange, val refuse: HandleExchange)
+
 internal class CallerConnection(
     private val currentLimits: CurrentLimits,
     private val decoded: DecodedHeadBytes,
     private val isClosing: IsClosing,
-    private val handle: HandleExchange,
-) : SimpleChannelInboundHandler<HttpRequest>() {
+    private val handlers: ExchangeHandlers,
+    private val budget: CallerBudget,
+    private val channel: Channel,
+) : SimpleChannelInboundHandler<CollectedRequest>() {
+    /** What the connection holds. */
+    val holder: CallerHolder = budget.open(channel, ::yieldRoom)
+
+    /** Collects the requests of the connection. */
+    val collector: RequestCollector = RequestCollector(currentLimits, holder, ::hasRequest, ::updateReading)
     private var queued: PersistentList<QueuedExchange> = persistentListOf()
-    private var current: NettyExchange? = null
+    private var running: QueuedExchange? = null
+    private val current: NettyExchange? get() = running?.exchange
     private var context: ChannelHandlerContext? = null
     private var idleTimeout = currentLimits().idleTimeout
 
     /** Set when no further request is read, so that the connection ends with its last response. */
-    private var isEnding = false
+    var isEnding: Boolean = false
+        private set
 
-    override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
+    override fun channelRead0(context: ChannelHandlerContext, collected: CollectedRequest) {
         if (isEnding) return
+        val request = collected.request
         val limits = currentLimits()
         val failure = request.decoderResult().cause()
         when {
@@ -62,16 +77,17 @@
                 refuse(request, HttpResponseStatus.REQUEST_URI_TOO_LONG, "the initial line is longer than ${limits.initialLineBytes} bytes")
             request.headerBytes() > limits.headerBytes ->
                 refuse(request, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the headers have over ${limits.headerBytes} bytes")
-            request !is FullHttpRequest -> refuseBody(request)
+            collected.isTooLong -> refuseBody(request)
             request.protocolVersion() !in supportedVersions ->
                 refuse(request, HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1")
             !request.hasValidHost() -> refuse(request, HttpResponseStatus.BAD_REQUEST, "exactly one Host header is required")
             queued.size >= limits.maxPipelinedRequests ->
                 refuse(request, HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests on this connection")
-            else -> accept(request, request.toBytes(), handle)
+            else -> accept(request, collected.body, handlers.handle)
         }
         watchIdleness(limits.idleTimeout)
         startNext()
+        updateReading()
     }
 
     /** Whether a request is in progress on the connection. */
@@ -90,7 +106,10 @@
     private fun accept(request: HttpRequest, body: ByteArray, handle: HandleExchange) {
         val asksToKeepAlive = HttpUtil.isKeepAlive(request)
         isEnding = !asksToKeepAlive
-        enqueue(request, body, handle) { asksToKeepAlive && (queued.isNotEmpty() || !(isEnding || isClosing() || isOutgrown())) }
+        enqueue(request.toHead(), request.protocolVersion(), body, handle) {
+            asksToKeepAlive &&
+                (queued.isNotEmpty() || !(isEnding || isClosing() || isOutgrown()))
+        }
     }
 
     /** Whether heads are allowed now that the decoder of this connection doesn't accept. */
@@ -105,7 +124,15 @@
 
     private fun refuse(request: HttpRequest, status: HttpResponseStatus, reason: String) {
         isEnding = true
-        enqueue(request, ByteArray(0), refusal(status, reason)) { false }
+        enqueue(request.toHead(), request.protocolVersion(), ByteArray(0), refusal(status, reason)) { false }
+    }
+
+    private fun refuseHead() {
+        if (isEnding) return
+        isEnding = true
+        val refusal = refusal(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head of the request is too long")
+        enqueue(noHead, HttpVersion.HTTP_1_1, ByteArray(0), refusal) { false }
+        startNext()
     }
 
     private fun refusal(status: HttpResponseStatus, reason: String): HandleExchange {
@@ -113,20 +140,51 @@
         return { it.respond(error.head, error.content) }
     }
 
-    private fun enqueue(request: HttpRequest, body: ByteArray, handle: HandleExchange, mayKeepAlive: () -> Boolean) {
-        val isChunkable = request.protocolVersion() != HttpVersion.HTTP_1_0
-        val exchange = NettyExchange(checkNotNull(context), request.toHead(), body, isChunkable, mayKeepAlive, ::onResponded)
-        queued = queued.add(QueuedExchange(exchange, handle))
+    private fun enqueue(head: RequestHead, version: HttpVersion, body: ByteArray, handle: HandleExchange, mayKeepAlive: () -> Boolean) {
+        val isChunkable = version != HttpVersion.HTTP_1_0
+        val exchange = NettyExchange(checkNotNull(context), head, body, isChunkable, mayKeepAlive, ::onResponded)
+        queued = queued.add(QueuedExchange(exchange, handle, body.size + head.cost()))
+        countRequests()
+    }
+
+    private fun countRequests() {
+        holder.isRunning = running != null
+        holder.requests = (running?.cost ?: 0L) + queued.sumOf { it.cost }
+    }
+
+    /** Reads on or not, so that requests ahead wait in the network when their peer doesn't read its responses. */
+    private fun updateReading() {
+        val waitingBytes = if (running == null) 0L else queued.sumOf { it.cost } + holder.body
+        val isReadOn = isReadOn(channel.isWritable, running != null, queued.size, waitingBytes)
+        if (channel.config().isAutoRead != isReadOn) channel.config().isAutoRead = isReadOn
+    }
+
+    /** Ends the connection for the room that it takes. An incomplete request on it is refused; one that wasn't seen at all isn't run. */
+    private fun yieldRoom() {
+        val incomplete = collector.incomplete
+        val isPartOfHead = holder.head > 0
+        collector.drop()
+        queued = queued.clear()
+        // A request that has begun since another thread chose the connection, or a response that is being read, ends first.
+        if ((running != null && !holder.isLeftUnread) || holder.isBeingRead) return end()
+        if (running == null && (incomplete != null || isPartOfHead)) {
+            isEnding = true
+            enqueue(incomplete?.toHead() ?: noHead, HttpVersion.HTTP_1_1, ByteArray(0), handlers.refuse) { false }
+            startNext()
+        }
+        // Closed even while the refusal, or the rest of a response, is not taken by the peer, which then sees that it isn't whole.
+        channel.close()
     }
 
     @Suppress("TooGenericExceptionCaught")
     private fun startNext() {
-        if (current != null) return
+        if (running != null || !channel.isWritable) return
         val next = queued.firstOrNull() ?: return
         queued = queued.removeAt(0)
-        current = next.exchange
+        running = next
+        countRequests()
         try {
-            next.handle(next.exchange)
+            if (next.handle !== handlers.handle || budget.mayRun()) next.handle(next.exchange) else handlers.refuse(next.exchange)
         } catch (failure: RuntimeException) {
             logger.error(failure) { "the handler of a request failed" }
             next.exchange.fail()
@@ -134,13 +192,15 @@
     }
 
     private fun onResponded(isLast: Boolean) {
-        current = null
+        running = null
         if (isLast) {
             queued = queued.clear()
             isEnding = true
         }
+        countRequests()
         if (isEnding) end()
         startNext()
+        updateReading()
     }
 
     /** Reads no further request, and closes the connection unless there is still one to respond to. */
@@ -162,21 +222,27 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        holder.countOutput()
         current?.listener?.onWritabilityChanged?.invoke(context.channel().isWritable)
+        startNext()
+        updateReading()
         context.fireChannelWritabilityChanged()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         queued = queued.clear()
         current?.listener?.onDisconnected?.invoke()
-        current = null
+        running = null
+        holder.close()
         context.fireChannelInactive()
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         when (event) {
             is IdleStateEvent -> if (current == null) onIdle()
-            is HeadTimedOut -> end()
+            // While the connection isn't read, the rest of the head may have been sent in time.
+            is HeadTimedOut -> if (channel.config().isAutoRead) end()
+            is HeadTooLong -> refuseHead()
             else -> context.fireUserEventTriggered(event)
         }
     }
@@ -196,7 +262,13 @@
 
 private val supportedVersions = setOf(HttpVersion.HTTP_1_1, HttpVersion.HTTP_1_0)
 
-private fun FullHttpRequest.hasValidHost(): Boolean {
+/** Stands for a head that is not complete. */
+private val noHead = RequestHead("", "", "", persistentListOf())
+
+private fun RequestHead.cost(): Long =
+    headCost(path.length + query.length + headers.sumOf { it.name.length + it.value.length }.toLong(), headers.size)
+
+private fun HttpRequest.hasValidHost(): Boolean {
     val hosts = headers().getAll(HttpHeaderNames.HOST).size
     return hosts == 1 || (hosts == 0 && protocolVersion() == HttpVersion.HTTP_1_0)
 }
@@ -222,8 +294,6 @@
     headers = headers().toImmutable(),
 )
 
-private fun FullHttpRequest.toBytes(): ByteArray = ByteArray(content().readableBytes()).also { content().readBytes(it) }
-
 internal fun HttpHeaders.toImmutable(): ImmutableList<Header> =
     map { Header(it.key.lowercase(), it.value) }.toImmutableList()
 
--- a/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/HttpServers.kt
@@ -5,6 +5,7 @@
 package sniperoute.connection.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -14,11 +15,13 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
 import io.netty.util.concurrent.GlobalEventExecutor
+import sniperoute.connection.http.codec.errorResponse
 import sniperoute.process.duty.namedThreads
 import java.net.InetSocketAddress
 import java.nio.file.Path
@@ -34,11 +37,17 @@
  */
 private const val MIN_DECODED_HEAD_BYTES = 64 * 1024
 
+private const val MIN_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2_048
+
+/** What is read at once is decoded at once, so it bounds the requests that a connection gets ahead of its responses. */
+private const val MAX_READ_BYTES = 16_384
+
 /**
  * Limits on the requests of a caller: sizes in bytes, and the number of pipelined requests that may wait on a connection. A connection
  * without a request in progress is closed when nothing was received or sent for [idleTimeout]. A connection is also closed when the head
  * of a request is not complete [headTimeout] after its first byte. Each request is held to the limits in force when it begins, also on a
- * connection that was opened under other ones.
+ * connection that was opened under other ones. Without [maxHeaderLines], a head may have as many header lines as its bytes allow.
  */
 public data class HttpLimits(
     public val initialLineBytes: Int = 8_192,
@@ -47,6 +56,7 @@
     public val maxPipelinedRequests: Int = 16,
     public val idleTimeout: Duration = 120.seconds,
     public val headTimeout: Duration = 10.seconds,
+    public val maxHeaderLines: Int? = null,
 )
 
 /** Returns the limits that are in force now. */
@@ -90,6 +100,20 @@
 /** Handles a request by responding to it, at once or later. */
 public typealias HandleExchange = (Exchange) -> Unit
 
+/** What the connections of a server may hold together, and how it refuses a request that it has no room for, as not run. */
+public class CallerRoom(public val budget: CallerBudget = callerBudget(), public val refuse: HandleExchange = ::refuse)
+
+/** A server beside that of the callers may hold one part in so many of what the callers' may. */
+private const val SMALL_SERVER_PARTS = 8
+
+/** Returns room of its own for a server of pages beside that of the callers, so that it is served whatever the callers hold. */
+public fun roomForPages(): CallerRoom = CallerRoom(callerBudget(parts = SMALL_SERVER_PARTS))
+
+private fun refuse(exchange: Exchange) {
+    val error = errorResponse(HttpStatus.UNAVAILABLE, "overloaded", "there is no room for the request; retry later", "not-run")
+    exchange.respond(error.head, error.content)
+}
+
 /**
  * Starts a server at [host] and [port] that calls [handle] for each request, on the thread of its connection.
  *
@@ -101,6 +125,7 @@
     limits: CurrentLimits = { HttpLimits() },
     tls: TlsFiles? = null,
     isClosing: IsClosing = { false },
+    room: CallerRoom = CallerRoom(),
     handle: HandleExchange,
 ): HttpServer {
     val tlsContext = tls?.let { SslContextBuilder.forServer(it.certificateChain.toFile(), it.privateKey.toFile()).build() }
@@ -110,16 +135,20 @@
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(serverPipeline(limits, tlsContext, isClosing, connections, handle))
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
+        .childHandler(
+            serverPipeline(limits, tlsContext, connections) { decoded, channel ->
+                CallerConnection(limits, decoded, isClosing, ExchangeHandlers(handle, room.refuse), room.budget, channel)
+            },
+        )
     return HttpServer(bootstrap.bind(host, port).sync().channel(), connections)
 }
 
 private fun serverPipeline(
     currentLimits: CurrentLimits,
     tls: SslContext?,
-    isClosing: IsClosing,
     connections: ChannelGroup,
-    handle: HandleExchange,
+    connect: (DecodedHeadBytes, Channel) -> CallerConnection,
 ) =
     object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
@@ -130,19 +159,23 @@
                 initialLine = maxOf(limits.initialLineBytes, MIN_DECODED_HEAD_BYTES),
                 headers = maxOf(limits.headerBytes, MIN_DECODED_HEAD_BYTES),
             )
+            val headers = CountedHeadersFactory(DefaultHttpHeadersFactory.headersFactory(), currentLimits)
             val decoderConfig = HttpDecoderConfig()
                 .setMaxInitialLineLength(decoded.initialLine)
                 .setMaxHeaderSize(decoded.headers)
-            val connection = CallerConnection(currentLimits, decoded, isClosing, handle)
-            val aggregatorSwitch = AggregatorSwitch(currentLimits, connection::hasRequest)
+                .setHeadersFactory(headers)
+                .setTrailersFactory(CountedHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), currentLimits))
+            val connection = connect(decoded, channel)
+            val guard = HeadGuard(currentLimits, connection.holder, headers) { connection.isEnding || connection.holder.isYielding }
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 headTimeout.bytes,
+                guard.bytes,
                 HttpServerCodec(decoderConfig),
                 headTimeout.messages,
+                guard.messages,
                 idleStateHandler(limits.idleTimeout),
-                aggregatorSwitch,
-                aggregatorSwitch.firstAggregator(),
+                connection.collector,
                 connection,
             )
         }
--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -47,6 +47,7 @@
     PEER_CONNECTED(400, Severity.INFORMATION),
     PEER_LOST(401, Severity.WARNING),
     PEER_REFUSED(402, Severity.WARNING),
+    CALLERS_LIMITED(403, Severity.WARNING),
     CONFIGURATION_ACCEPTED(500, Severity.INFORMATION),
     CONFIGURATION_REFUSED(501, Severity.WARNING),
     CONFIGURATION_IN_FORCE(502, Severity.INFORMATION),
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlPrograms.kt
@@ -61,5 +61,5 @@
 
 private fun ControlSettings.serve(context: OperatorPagesContext): HttpServer {
     val pages = OperatorPages(this, context.controlDuty, context.metrics, context.recorder, context.clock)
-    return context.threads.serve(administration.host, administration.port, tls = tls, handle = pages::handle)
+    return context.threads.serve(administration.host, administration.port, tls = tls, room = context.room, handle = pages::handle)
 }
--- a/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlReplicas.kt
@@ -12,8 +12,11 @@
 import sniperoute.common.runUntilShutdown
 import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.endpointClient
+import sniperoute.connection.http.CallerRoom
 import sniperoute.connection.http.HttpServer
 import sniperoute.connection.http.HttpThreads
+import sniperoute.connection.http.callerBudget
+import sniperoute.connection.http.registerCallers
 import sniperoute.connection.http.startHttpThreads
 import sniperoute.connection.peer.*
 import sniperoute.connection.peer.message.PeerName
@@ -59,6 +62,7 @@
     public val metrics: MetricsRegistry,
     public val recorder: EventRecorder,
     public val clock: Clock,
+    public val room: CallerRoom,
 )
 
 /** Starts serving operators. */
@@ -85,6 +89,7 @@
     public val fleet: FleetSettings = FleetSettings(),
     public val openEndpointGateway: OpenEndpointGateway = { client, _ -> EndpointGateway(client::call) },
     public val serveOperators: ServeOperators,
+    public val descriptors: Long = Long.MAX_VALUE,
 )
 
 /** Returns the identity of the first replica on [vm]. It is derived from the name, so that the founding members know each other's. */
@@ -236,6 +241,8 @@
             "sniperoute_session_refused",
             "Router messages answered with \"not the leader\".",
         ) { links.notLeaderReplyCount.toDouble() }
-        return options.serveOperators(OperatorPagesContext(httpThreads, controlDuty, metrics, recorder, clock))
+        val budget = callerBudget(options.descriptors, clock = clock) { recorder.record(EventKind.CALLERS_LIMITED, detail = it) }
+        metrics.registerCallers(budget)
+        return options.serveOperators(OperatorPagesContext(httpThreads, controlDuty, metrics, recorder, clock, CallerRoom(budget)))
     }
 }
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterPrograms.kt
@@ -17,6 +17,7 @@
 import sniperoute.connection.endpoint.message.EndpointAddress
 import sniperoute.connection.http.Exchange
 import sniperoute.connection.http.HttpServer
+import sniperoute.connection.http.roomForPages
 import sniperoute.connection.http.serve
 import sniperoute.connection.peer.SharedSecretAuthentication
 import sniperoute.process.clock.systemClock
@@ -53,7 +54,7 @@
         onCatalogue
     },
     serveAdministration = ::serveAdministration,
-    threads = threads,
+    resources = RouterResources(threads),
     stopTiming = StopTiming(READINESS_LAG, READINESS_LAG + drain),
     timelineEvents = timelineEvents,
 )
@@ -70,7 +71,7 @@
 }
 
 private fun RouterSettings.serveAdministration(context: RouterPagesContext): HttpServer =
-    context.threads.serve(administration.host, administration.port, tls = tls) { administer(it, context) }
+    context.threads.serve(administration.host, administration.port, tls = tls, room = roomForPages()) { administer(it, context) }
 
 private fun RouterSettings.administer(exchange: Exchange, context: RouterPagesContext) {
     val path = exchange.head.path
--- a/programs/router/src/main/kotlin/sniperoute/router/RouterSettings.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RouterSettings.kt
@@ -42,6 +42,9 @@
 
 private val THREAD_RANGE = 1L..64L
 private val HEADER_BYTES_RANGE = 1_024L..1_048_576L
+
+/** 0 stands for as many lines as the bytes of a head allow. */
+private val HEADER_LINES_RANGE = 0L..1_000_000L
 private val BODY_BYTES_RANGE = 1_024L..268_435_456L
 private val DRAIN_MILLISECONDS_RANGE = 0L..3_600_000L
 private val TIMELINE_EVENTS_RANGE = 100L..1_000_000L
@@ -63,6 +66,7 @@
         limits = objectOrNull("limits") {
             defaults.copy(
                 headerBytes = long("headerBytes", HEADER_BYTES_RANGE, defaults.headerBytes.toLong()).toInt(),
+                maxHeaderLines = long("headerLines", HEADER_LINES_RANGE, default = 0).toInt().takeIf { it > 0 },
                 bodyBytes = long("bodyBytes", BODY_BYTES_RANGE, defaults.bodyBytes.toLong()).toInt(),
             )
         } ?: defaults,
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -18,12 +18,15 @@
 import sniperoute.connection.endpoint.EndpointClient
 import sniperoute.connection.endpoint.RequestIdHeader
 import sniperoute.connection.endpoint.endpointClient
+import sniperoute.connection.http.CallerRoom
 import sniperoute.connection.http.Exchange
 import sniperoute.connection.http.HttpLimits
 import sniperoute.connection.http.HttpServer
 import sniperoute.connection.http.HttpThreads
 import sniperoute.connection.http.RequestHead
 import sniperoute.connection.http.TlsFiles
+import sniperoute.connection.http.callerBudget
+import sniperoute.connection.http.registerCallers
 import sniperoute.connection.http.serve
 import sniperoute.connection.http.startHttpThreads
 import sniperoute.connection.peer.PeerAuthentication
@@ -146,11 +149,16 @@
     public val listEndpoints: (EndpointClient, EventRecorder) -> ListEndpoints,
     public val watchEndpoints: WatchEndpoints,
     public val serveAdministration: ServeAdministration,
-    public val threads: Int,
+    public val resources: RouterResources,
     public val stopTiming: StopTiming,
     public val timelineEvents: Int,
 )
 
+/** The threads for HTTP connections, and the descriptors that the process may open if the system doesn't grant fewer. */
+public data class RouterResources(public val threads: Int, public val descriptors: Long = Long.MAX_VALUE)
+
+private val noRoomRefusal = Refusal(RefusalKind.OVERLOADED, "this router has no room for the request; retry later")
+
 private val drainingRefusal = Refusal(RefusalKind.NOT_READY, "this router is stopping; retry on another connection")
 
 /** Runs a router until it is stopped. */
@@ -167,7 +175,7 @@
     private val routingRing = ring<RoutingInput>("routing", ROUTING_RING_CAPACITY)
     private val sessionRing = ring<SessionInput>("session", SESSION_RING_CAPACITY)
     private val onFailure = haltOnDutyFailure(recorder)
-    private val threads = startHttpThreads(options.threads)
+    private val threads = startHttpThreads(options.resources.threads)
     private val client = endpointClient(threads, clock, options.frontEnd.echo)
     private val network = newPeerNetwork()
     private val runs = RunRegistry()
@@ -189,6 +197,8 @@
         ),
     )
     private val bufferedBytes = byteBudget(Runtime.getRuntime().maxMemory() / BUFFERED_SHARE_OF_HEAP)
+    private val callerBudget =
+        callerBudget(options.resources.descriptors, clock = clock) { recorder.record(EventKind.CALLERS_LIMITED, detail = it) }
     private val metrics = newMetricsRegistry()
     private val requests = metrics.counter("sniperoute_requests", "Requests that ended.", "route", "outcome")
     private val firstTokens = metrics.secondsHistogram("sniperoute_first_token_seconds", "Time to the first token.", "route")
@@ -218,6 +228,7 @@
             { options.frontEnd.httpLimits(session.view.get()) },
             options.tls,
             { stop.get() != null },
+            CallerRoom(callerBudget, ::refuseForRoom),
             ::receive,
         )
         recorder.record(EventKind.PROCESS_READY, detail = "callers on port ${callers.port}, administration on port ${administration.port}")
@@ -245,6 +256,7 @@
         metrics.gauge("sniperoute_buffered_bytes", "Bytes of responses that are collected before they are sent.") {
             bufferedBytes.heldBytes.toDouble()
         }
+        metrics.registerCallers(callerBudget)
         metrics.gauge("sniperoute_known_pieces", "Cached pieces that this router knows of.") {
             routingState
                 .get()
@@ -277,6 +289,13 @@
         )
     }
 
+    /** Refuses a request, whole or not, that nothing was done for. */
+    private fun refuseForRoom(exchange: Exchange) {
+        val id = options.frontEnd.identify(exchange.head, lastRequest.incrementAndGet())
+        requests.labelValues("none", noRoomRefusal.outcome.text).inc()
+        exchange.reply(options.frontEnd.protocol.refusalResponse(noRoomRefusal, id))
+    }
+
     private fun isTaken(run: RequestRun, now: Timestamp): Boolean =
         stop.get()?.takes(run.admitted.route, durations.get(), now) ?: true
 
