Limit the requests that cold endpoints get from all routers together

Cause: nothing used the declared cold time of a service or what the platform's list says of it. Every router sent to an endpoint that had just come back as to any other, so that all of them together exceeded what it takes while it is cold.

Change: the leader learns of starts from the list, from new incarnations and from routers' failed calls, which it checks by reading the endpoint's incarnation. It grants permits for cold endpoints by the means of the request limits; they expire by the routers' own clocks. A router without a permit sends nothing there, in touch or not. After the warm-up the permits grow before the limit ends. Deployments that declare no cold time behave as before.

ControlSessionTest compared a whole renewal, which now also carries the time at which it is sent; the test expects that time.

--- a/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
@@ -118,6 +118,9 @@
             is LoadWeights -> loadWeights(effect)
             is StoreSnapshot -> storeSnapshot(effect)
             is ReadPlatformList -> endpoints.list { listed -> inbox.offer(PlatformListRead(listed)) }
+            is CheckEndpoint -> endpoints.read(effect.listed) { report ->
+                inbox.offer(EndpointChecked(effect.listed.endpoint.name, effect.startedAt, report?.incarnation))
+            }
             is PerformLoadEffect -> performLoadEffect(effect)
             is CheckStore -> endpoints.readStore(
                 effect.address,
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -21,9 +21,12 @@
 import sniperoute.version.decision.Leases
 import sniperoute.version.decision.RequestLimits
 import sniperoute.version.decision.RouterName
+import sniperoute.version.decision.WarmUpTolerance
+import sniperoute.version.decision.WarmingEndpoints
 import sniperoute.version.decision.WeightLoads
 import sniperoute.version.decision.noFleetWorkloads
 import sniperoute.version.decision.noRequestLimits
+import sniperoute.version.decision.noWarmingEndpoints
 import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.ServiceName
@@ -110,14 +113,19 @@
     public val storeIncarnations: PersistentMap<ServiceName, Long> = persistentMapOf(),
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
     public val limits: RequestLimits,
+    public val warming: WarmingEndpoints,
 )
 
 /**
  * The settings for listed services. With [readsPlatformList] a leader reads the platform's list and reconciles the services in it. A new
  * leader sends their endpoints no load command for [loadCommandGracePeriod], after which commands of an earlier leader can no longer
- * take effect.
+ * take effect. Cold endpoints get requests within the [warmUpTolerance].
  */
-public data class FleetSettings(public val readsPlatformList: Boolean = false, public val loadCommandGracePeriod: Duration = Duration.ZERO)
+public data class FleetSettings(
+    public val readsPlatformList: Boolean = false,
+    public val loadCommandGracePeriod: Duration = Duration.ZERO,
+    public val warmUpTolerance: WarmUpTolerance = WarmUpTolerance(),
+)
 
 /**
  * The state of the control duty. [appliedIndex] is the last log entry that was applied to [replicatedState], [nextProposal] the number of
@@ -147,6 +155,7 @@
     maximumElectionTimeout: Duration,
     leases: Leases,
     revision: Long,
+    tolerance: WarmUpTolerance,
 ): LeaderState = LeaderState(
     term = term,
     loadCommandsAllowedFrom = now + maximumElectionTimeout * 2,
@@ -165,6 +174,7 @@
     lastWeightsReads = persistentMapOf(),
     lastReportedRevision = revision,
     limits = noRequestLimits(now),
+    warming = noWarmingEndpoints(now, tolerance),
 )
 
 /** A state, and the effects that the duty performs for it. */
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -46,6 +46,7 @@
     is PlatformListRead -> onPlatformListRead(input, now)
     is StoreChecked -> onStoreChecked(input)
     is EndpointReportRead -> reconcileLoads(now) { it.reportRead(input.endpoint, input.report, now) }
+    is EndpointChecked -> onEndpointChecked(input, now)
     is LoadCommandEnded -> reconcileLoads(now) { it.commandEnded(input.endpoint, input.number, input.outcome, now) }
 }
 
@@ -57,7 +58,9 @@
         status.isLeader -> {
             val leases = newLeases(now, status.maximumElectionTimeout)
             failPendingProposals(status).then {
-                val leader = newLeaderState(status.term, now, status.maximumElectionTimeout, leases, it.replicatedState.published.revision)
+                val revision = it.replicatedState.published.revision
+                val leader =
+                    newLeaderState(status.term, now, status.maximumElectionTimeout, leases, revision, it.settings.warmUpTolerance)
                 it.copy(leaderState = leader.withLoadsFrom(now + it.settings.loadCommandGracePeriod)).unchanged()
             }
         }
@@ -238,6 +241,7 @@
             evidence = evidence.put(input.router, evidenceTable(request.evidence)),
         )
     }
+    val (doubted, settled) = renewed.recordDoubts(input.router, request, now)
     val published = replicatedState.published
     val since = published.changesSince(request.revision)
     val reply = RenewReply(
@@ -250,9 +254,9 @@
         members = status.memberVms(),
         routers = checkNotNull(renewed.leaderState) { "only a leader renews leases" }.leases.routers.size,
         fleet = leaderState?.fleet?.number ?: 0,
+        settledDoubts = settled.toPersistentList(),
     )
-    return renewed
-        .unchanged()
+    return doubted
         .emit(SendSessionReply(input.from, reply))
         .then { it.sendFleetIfStale(input.from, request.fleet) }
         .then { if (isNewRouter) it.sendRequestLimits(input.from) else it.unchanged() }
@@ -284,6 +288,7 @@
         .then { it.reconcileMoves(now) }
         .then { it.reconcileFleet(now) }
         .then { it.broadcastWorkloads(now) }
+        .then { it.checkDoubted(now) }
         .then { it.grantRequestPermits(now) }
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -80,7 +80,7 @@
     val listed = input.listed ?: return unchanged()
     val leader = leaderState ?: return unchanged()
     val started = updateLeader { copy(fleet = leader.fleet ?: FleetView(firstFleetNumber(leader.term), persistentMapOf())) }
-    return started.reconcileLoads(now) { it.withListing(listed) }
+    return started.learnStarts(listed, now).then { state -> state.reconcileLoads(now) { it.withListing(listed) } }
 }
 
 /** Returns the state after [update] of the weight loads, with the reads and load commands that are due after it. */
@@ -97,7 +97,11 @@
     val leader = leaderState ?: return unchanged()
     val before = leader.fleet ?: return unchanged()
     val endpoints = leader.loads.endpoints.values.fold(persistentMapOf<EndpointName, FleetEndpoint>()) { all, load ->
-        all.put(load.listed.endpoint.name, FleetEndpoint(load.listed, load.weights, isChanging = load.openCommand != null || load.isBusy))
+        val name = load.listed.endpoint.name
+        // The time left changes with each list and says no more than whether the endpoint is cold.
+        val listed = load.listed.copy(coldMilliseconds = 0)
+        val isChanging = load.openCommand != null || load.isBusy
+        all.put(name, FleetEndpoint(listed, load.weights, isChanging, isWarming = name in leader.warming.byEndpoint))
     }
     val after = before.next(endpoints, leader.storeIncarnations)
     if (after === before) return unchanged()
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/RequestLimiting.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/RequestLimiting.kt
@@ -17,6 +17,7 @@
 import sniperoute.version.decision.noticeForNewRouterOrNull
 import sniperoute.version.decision.record
 import sniperoute.version.message.EndpointName
+import sniperoute.version.message.RequestLimitNotice
 import sniperoute.version.message.RequestLimitReport
 import sniperoute.version.message.ServiceName
 
@@ -31,9 +32,14 @@
     val live = leader.links.entries
         .filter { (_, router) -> leader.leases.routers[router]?.let { it.until > now } ?: false }
         .associate { (link, router) -> router to link }
-    val step = leader.limits.grant(live.keys.sortedBy { it.toString() }, now) { router, endpoint -> leader.demand(router, endpoint) }
-    return step.notices.entries.fold(withRequestLimits(step.limits)) { all, (router, notice) ->
-        all.emit(NotifyRouters(persistentListOf(live.getValue(router)), notice))
+    val routers = live.keys.sortedBy { it.toString() }
+    val step = leader.limits.grant(routers, now, leader::demand)
+    val warming = leader.warming.grant(routers, now, leader::demand)
+    val next = withRequestLimits(step.limits).then { it.withWarming(warming.endpoints) }
+    return routers.filter { it in step.notices || it in warming.permits }.fold(next) { all, router ->
+        val notice = step.notices[router] ?: RequestLimitNotice(isComplete = false, persistentListOf(), persistentListOf())
+        val granted = leader.withWarmingPermits(notice, router, warming.permits[router].orEmpty())
+        all.emit(NotifyRouters(persistentListOf(live.getValue(router)), granted))
     }
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/message/ControlInputs.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/ControlInputs.kt
@@ -9,6 +9,7 @@
 import sniperoute.control.decision.ControlState
 import sniperoute.process.agreement.message.LogEntry
 import sniperoute.process.agreement.message.Snapshot
+import sniperoute.process.clock.Timestamp
 import sniperoute.process.identity.VmName
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
@@ -92,6 +93,10 @@
 /** The report of a listed endpoint was read; `null` when it gave none. */
 public data class EndpointReportRead(public val endpoint: EndpointName, public val report: EndpointReport?) : ControlInput
 
+/** The incarnation of a doubted endpoint was read, by a call that began at [startedAt]; `null` when it gave none. */
+public data class EndpointChecked(public val endpoint: EndpointName, public val startedAt: Timestamp, public val incarnation: String?) :
+    ControlInput
+
 /** The load command for weights [number] that was sent to a listed endpoint ended with [outcome]. */
 public data class LoadCommandEnded(
     public val endpoint: EndpointName,
@@ -143,6 +148,9 @@
 /** Reads the incarnation of a cache store. */
 public data class CheckStore(public val service: ServiceName, public val address: StoreAddress) : ControlEffect
 
+/** Reads the incarnation of a listed endpoint that a router doubts; the call begins at [startedAt]. */
+public data class CheckEndpoint(public val listed: ListedEndpoint, public val startedAt: Timestamp) : ControlEffect
+
 /** Performs [load] at a listed endpoint; a load command carries the fencing token [fence]. */
 public data class PerformLoadEffect(public val load: LoadEffect, public val fence: Long) : ControlEffect
 
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -251,6 +251,13 @@
                 .cacheIndex.holders.size
                 .toDouble()
         }
+        metrics.gauge("sniperoute_endpoints_by_permit", "Endpoints that may be cold, so that requests need permits.") {
+            routingState
+                .get()
+                .endpoints.values
+                .count { it.warming != null }
+                .toDouble()
+        }
         metrics.gauge("sniperoute_timeline_dropped", "Events that the time line had no room for.") { recorder.droppedCount.toDouble() }
     }
 
--- a/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/RoutingDuties.kt
@@ -19,6 +19,7 @@
 import sniperoute.request.routing.decision.step
 import sniperoute.request.routing.message.*
 import sniperoute.request.run.RequestRun
+import sniperoute.router.message.DoubtsChanged
 import sniperoute.router.message.EvidenceChanged
 import sniperoute.router.message.RoutingMessageSent
 import sniperoute.router.message.SessionInput
@@ -87,6 +88,7 @@
         is GiveUp -> performAtRun(effect.id, effect)
         is RequestTokens -> session.offer(RoutingMessageSent(TokenRequest(effect.workspace, effect.tokens)))
         is ReturnTokens -> session.offer(RoutingMessageSent(TokenReturn(effect.workspace, effect.tokens)))
+        is ReportDoubts -> session.offer(DoubtsChanged(effect.doubts))
         is ReportRequestLimits -> session.offer(RoutingMessageSent(effect.report))
         is ReportWorkload -> session.offer(RoutingMessageSent(effect.report))
         is QuarantineReport -> requestLedger(effect.toNotice())
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -25,6 +25,7 @@
 import sniperoute.request.ledger.message.LedgerReply
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.ledger.message.LedgerUnavailable
+import sniperoute.request.routing.message.DoubtsSettled
 import sniperoute.request.routing.message.FleetChanged
 import sniperoute.request.routing.message.FleetWorkloadReceived
 import sniperoute.request.routing.message.RequestLimitsReceived
@@ -119,6 +120,7 @@
             is ServeFleet -> routing.put(FleetChanged(effect.fleet))
             is DeliverWorkload -> routing.offer(FleetWorkloadReceived(effect.message))
             is DeliverRequestLimits -> routing.put(RequestLimitsReceived(effect.notice))
+            is DeliverSettledDoubts -> routing.put(DoubtsSettled(effect.doubts))
             is ShareAllowances -> routing.put(RouterCountChanged(effect.routers))
             is KeepLinks -> reconnectingLinks.setTargets(effect.replicas)
             is DiscoverReplicas -> reconnectingLinks.addTargets(network.seeds())
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -50,7 +50,7 @@
 /**
  * The state of the session duty. [leader] is the replica that is taken for the leader, and [view] what the router may serve and until
  * when. A lease that expired is reported once, which [isLeaseLossReported] records. [lastFleetUpdate] is when the leader's fleet view
- * was last known to be current, and [routerCount] how many routers share the allowances.
+ * was last known to be current, [routerCount] how many routers share the allowances, and [doubts] those of the routing duty.
  */
 public data class ControlSession(
     public val replicas: PersistentList<VmName>,
@@ -69,6 +69,7 @@
     public val nextListRead: Timestamp = Timestamp.EARLIEST,
     public val nextDiscovery: Timestamp = Timestamp.EARLIEST,
     public val routerCount: Int = 1,
+    public val doubts: ImmutableList<EndpointDoubt> = persistentListOf(),
 )
 
 /**
@@ -122,6 +123,7 @@
     is RoutingMessageSent -> unchanged().emit(SendSession(leader, 0, input.message))
     is LedgerRequestIssued -> onLedgerRequest(input, now)
     is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
+    is DoubtsChanged -> onDoubtsChanged(input, now)
     is ListRead -> onListRead(input)
 }
 
@@ -135,7 +137,15 @@
         nextRenewal = now + RENEW_INTERVAL,
         nextCorrelation = nextCorrelation + 1,
     )
-    return next.unchanged().emit(SendSession(leader, nextCorrelation, RenewRequest(view.catalogue.revision, evidence, fleet.number)))
+    val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts)
+    return next.unchanged().emit(SendSession(leader, nextCorrelation, request))
+}
+
+/** The leader is told of a new doubt at once. */
+private fun ControlSession.onDoubtsChanged(input: DoubtsChanged, now: Timestamp): SessionStep {
+    val isNew = input.doubts.any { it !in doubts }
+    val next = copy(doubts = input.doubts, nextRenewal = if (isNew) now else nextRenewal)
+    return if (isNew) next.renewIfDue(now) else next.unchanged()
 }
 
 private fun ControlSession.onTick(now: Timestamp): SessionStep {
@@ -173,7 +183,8 @@
     val listed = input.listed ?: return unchanged()
     val endpoints = listed.fold(fleet.endpoints.clear()) { all, endpoint ->
         val existing = fleet.endpoints[endpoint.endpoint.name]?.takeIf { it.listed.incarnation == endpoint.incarnation }
-        all.put(endpoint.endpoint.name, existing?.copy(listed = endpoint) ?: FleetEndpoint(endpoint, endpoint.weights, isChanging = false))
+        val known = existing?.copy(listed = endpoint) ?: FleetEndpoint(endpoint, endpoint.weights, isChanging = false)
+        all.put(endpoint.endpoint.name, known.copy(isWarming = endpoint.coldMilliseconds > 0))
     }
     val next = FleetView(0, endpoints)
     return copy(fleet = next).unchanged().emit(ServeFleet(next))
@@ -259,7 +270,9 @@
         .unchanged()
         .emit(ServeView(newView))
     val reported = if (isChanged) served.emit(RevisionInForce(reply.revision, reply.configuration)) else served
-    return reported.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }
+    val settled = reply.settledDoubts.toPersistentList()
+    val told = if (settled.isEmpty()) reported else reported.emit(DeliverSettledDoubts(settled))
+    return told.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }
 }
 
 private fun ControlSession.withRouterCount(count: Int): SessionStep =
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -4,12 +4,14 @@
 package sniperoute.router.message
 
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentList
 import sniperoute.process.identity.VmName
 import sniperoute.request.admission.decision.ServingView
 import sniperoute.request.ledger.message.LedgerReply
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.routing.message.TokensGranted
 import sniperoute.version.decision.FleetView
+import sniperoute.version.message.EndpointDoubt
 import sniperoute.version.message.FleetWorkload
 import sniperoute.version.message.ListedEndpoint
 import sniperoute.version.message.RequestLimitNotice
@@ -62,6 +64,9 @@
 /** The evidence about the services that are being moved changed. */
 public data class EvidenceChanged(public val evidence: ImmutableList<RouteEvidence>) : SessionInput
 
+/** The routing duty has these [doubts] now, and no others. */
+public data class DoubtsChanged(public val doubts: ImmutableList<EndpointDoubt>) : SessionInput
+
 /** This router read the platform's list; `null` when reading it failed. */
 public data class ListRead(public val listed: ImmutableList<ListedEndpoint>?) : SessionInput
 
@@ -89,6 +94,9 @@
 /** Delivers the limits of endpoints and this router's permits to the routing duty. */
 public data class DeliverRequestLimits(public val notice: RequestLimitNotice) : SessionEffect
 
+/** Tells the routing duty which [doubts] the leader settled. */
+public data class DeliverSettledDoubts(public val doubts: PersistentList<EndpointDoubt>) : SessionEffect
+
 /** Routes by the listed endpoints in [fleet] from now on. */
 public data class ServeFleet(public val fleet: FleetView) : SessionEffect
 
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -116,7 +116,7 @@
         val driver = SessionDriver()
         driver.renew(driver.link().renewal())
         val effects = driver.input(SessionMessageReceived(VmName("c1"), 0, ChangeNotice(2)))
-        expectThat(effects.renewal().message).isEqualTo(RenewRequest(1, persistentListOf()))
+        expectThat(effects.renewal().message).isEqualTo(RenewRequest(1, persistentListOf(), sentMicroseconds = driver.now.microseconds))
     }
 
     @Test
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -67,6 +67,7 @@
  * @property isReportShared is `true` once the leader has sent the workload of all routers at the endpoint.
  * @property rejections counts rejected requests; a first token resets it.
  * @property limit bounds the requests that this router may send; `null` while the endpoint takes any number.
+ * @property warming is set while the endpoint may be cold after a start, so that requests need permits.
  * @property hasAnnouncedLeaving is `true` once a response said that the endpoint leaves; [isLeaving] is what lists and reports say.
  * @property pausedUntil is the time until which the endpoint wants no request from this router.
  */
@@ -94,6 +95,7 @@
     public val limit: RouterRequestLimit? = null,
     public val hasAnnouncedLeaving: Boolean = false,
     public val pausedUntil: Timestamp = Timestamp.EARLIEST,
+    public val warming: EndpointWarming? = null,
 )
 
 /** Returns the weights that serve a request for [model] here, or `null` if they are unknown or there are none. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/KnownEndpoints.kt
@@ -26,7 +26,7 @@
     val restarted = listed.filter { endpoints[it.name]?.isEarlierIncarnationOf(it) ?: false }.map { it.name }
     return restarted
         .fold(unchanged()) { step, name -> step.then { it.onCrash(name, now) } }
-        .then { it.withEndpoints(listed).unchanged() }
+        .then { it.withEndpoints(listed, now).unchanged() }
 }
 
 /**
@@ -43,7 +43,7 @@
         .filter { endpoints.getValue(it.name).isEarlierIncarnationOf(it) }
         .fold(unchanged()) { step, endpoint -> step.then { it.onCrash(endpoint.name, now) } }
         .then { state ->
-            val updated = known.fold(state.endpoints) { all, endpoint -> all.put(endpoint.name, state.listedState(endpoint)) }
+            val updated = known.fold(state.endpoints) { all, endpoint -> all.put(endpoint.name, state.listedState(endpoint, now)) }
             state.copy(endpoints = updated).unchanged()
         }
 }
@@ -51,14 +51,14 @@
 private fun EndpointState.isEarlierIncarnationOf(listed: FleetEndpoint): Boolean =
     incarnation != null && incarnation != listed.listed.incarnation
 
-private fun RoutingState.withEndpoints(listed: List<FleetEndpoint>): RoutingState {
+private fun RoutingState.withEndpoints(listed: List<FleetEndpoint>, now: Timestamp): RoutingState {
     val declared = view.catalogue.services.values
         .filter { !it.isListed }
         .flatMap { service -> service.endpoints.map { service to it } }
     val kept = declared.fold(endpoints.clear()) { all, (service, endpoint) ->
         all.put(endpoint.name, endpoints[endpoint.name]?.redeclared(service, endpoint) ?: newEndpoint(service, endpoint))
     }
-    val all = listed.fold(kept) { known, endpoint -> known.put(endpoint.name, listedState(endpoint)) }
+    val all = listed.fold(kept) { known, endpoint -> known.put(endpoint.name, listedState(endpoint, now)) }
     val removed = endpoints.keys.filter { it !in all }
     val members = all.values.groupBy { it.service }.mapValues { (_, states) -> states.map { it.endpoint.name }.sorted().toPersistentList() }
     return copy(
@@ -73,13 +73,13 @@
 private fun EndpointState.redeclared(service: Service, declared: Endpoint): EndpointState =
     copy(endpoint = declared, service = service.name, kind = service.kind)
 
-private fun RoutingState.listedState(fleetEndpoint: FleetEndpoint): EndpointState {
+private fun RoutingState.listedState(fleetEndpoint: FleetEndpoint, now: Timestamp): EndpointState {
     val listed = fleetEndpoint.listed
     val service = view.catalogue.services.getValue(listed.service)
     val name = listed.endpoint.name
     val known = endpoints[name]?.takeIf { it.incarnation == listed.incarnation }
         ?: EndpointState(listed.endpoint, service.name, service.kind, incarnation = listed.incarnation, crashedAt = lastCrash(name))
-    return known.copy(
+    return withListedWarming(known, fleetEndpoint, now).copy(
         endpoint = listed.endpoint,
         release = listed.release,
         isLeaving = listed.isLeaving,
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RouterRequestLimits.kt
@@ -48,11 +48,14 @@
     public val confirmedAt: Timestamp = Timestamp.EARLIEST,
 )
 
-/** Whether a request may be sent to the endpoint at [now], as far as its limit is concerned. */
-internal fun EndpointState.isPermitted(now: Timestamp): Boolean = limit == null || limit.permits.any { now < it }
+/** Whether a request may be sent to the endpoint at [now], as far as its limit and its warm-up are concerned. */
+internal fun EndpointState.isPermitted(now: Timestamp): Boolean =
+    isWarmOrPermitted(now) && (limit == null || limit.permits.any { now < it })
 
 /** Returns the endpoint after a request was sent there at [now], which uses the permit that expires first. */
-internal fun EndpointState.usePermit(now: Timestamp): EndpointState {
+internal fun EndpointState.usePermit(now: Timestamp): EndpointState = useWarmingPermit(now).useLimitPermit(now)
+
+private fun EndpointState.useLimitPermit(now: Timestamp): EndpointState {
     val rest = limit?.permits?.valid(now)?.drop(1) ?: return this
     return copy(limit = limit.copy(permits = rest.toPersistentList()))
 }
@@ -71,7 +74,7 @@
     val limits = notice.limits.associate { it.endpoint to it.perSecond }
     val permits = notice.permits.associate { it.endpoint to it.count }
     val affected = endpoints.values.filter { it.limit != null || it.endpoint.name in limits }
-    return affected.fold(this) { state, endpoint ->
+    return affected.fold(withWarmingPermits(notice, now)) { state, endpoint ->
         val name = endpoint.endpoint.name
         state.withEndpoint(name) { it.withNotice(notice.isComplete, limits[name], now).withPermits(permits[name] ?: 0, now) }
     }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -49,6 +49,7 @@
     is FleetChanged -> onFleet(input.fleet, policy, now)
     is RouterCountChanged -> copy(routers = input.routers).unchanged()
     is FleetWorkloadReceived -> onFleetWorkload(input, now).drainAll(policy, now)
+    is DoubtsSettled -> onDoubtsSettled(input).then { it.drainAll(policy, now) }
 }
 
 private fun RoutingState.onTick(policy: PlacementPolicy, now: Timestamp): RoutingStep {
@@ -60,7 +61,7 @@
         unchanged()
     }
     return checked
-        .then { it.accrueAlone(now).updateLimits(now).unchanged() }
+        .then { it.accrueAlone(now).updateLimits(now).endOldDoubts(now) }
         .then { it.drainAll(policy, now) }
         .then { it.reportWorkload(now) }
         .then { it.reportLimits(now) }
@@ -207,14 +208,15 @@
  */
 private fun RoutingState.onAttemptStalled(input: AttemptStalled, policy: PlacementPolicy, now: Timestamp): RoutingStep {
     val run = running[input.id] ?: return unchanged().emit(KeepAttempt(input.id))
-    val stalled = if (run.hasStalled) this else withStalled(run, now)
+    val doubted = if (run.hasStalled) unchanged() else withStalled(run, now).doubt(run.endpoint, now)
+    val stalled = doubted.state
     val replaced = stalled
         .copy(running = running.remove(input.id))
         .withEndpoint(run.endpoint) { it.withoutRequest(input.id) }
         .addEvidence(run) { it.addFailure() }
         .chargeRetryOrNull(run, AttemptFailed(AttemptFailureKind.SILENT, input.mayRepeat, input.reason), now)
         ?.redispatchOrNull(run.request, policy, now)
-    return replaced?.then { it.drain(run.request.service, policy, now) } ?: stalled.unchanged().emit(KeepAttempt(input.id))
+    return doubted.then { replaced?.then { it.drain(run.request.service, policy, now) } ?: it.unchanged().emit(KeepAttempt(input.id)) }
 }
 
 private fun RoutingState.withStalled(run: RunningRequest, now: Timestamp): RoutingState =
@@ -234,7 +236,9 @@
 }
 
 private fun RoutingState.onFailed(run: RunningRequest, result: AttemptFailed, now: Timestamp): RoutingStep =
-    recordFailure(run, result, now).then { it.retryOrGiveUp(run, result, now) }
+    recordFailure(run, result, now)
+        .then { if (result.kind.mayBeRestart) it.doubt(run.endpoint, now) else it.unchanged() }
+        .then { it.retryOrGiveUp(run, result, now) }
 
 private fun RoutingState.recordFailure(run: RunningRequest, result: AttemptFailed, now: Timestamp): RoutingStep {
     val judged = if (result.kind.isNotRun) this else addEvidence(run) { it.addFailure() }
@@ -303,6 +307,7 @@
 private fun RoutingState.onFleet(newFleet: FleetView, policy: PlacementPolicy, now: Timestamp): RoutingStep =
     copy(fleet = newFleet, cacheIndex = withoutRestartedStores(newFleet))
         .withChangedEndpoints(fleet, now)
+        .then { it.reportDoubtsSince(this) }
         .then { it.drainAll(policy, now) }
 
 /** A store with a new incarnation is empty. */
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -10,6 +10,7 @@
 import sniperoute.version.decision.FleetView
 import sniperoute.version.message.BlockId
 import sniperoute.version.message.Endpoint
+import sniperoute.version.message.EndpointDoubt
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetWorkload
 import sniperoute.version.message.RequestDigest
@@ -77,6 +78,9 @@
 /** The leader sent the limits of endpoints and this router's permits for them. */
 public data class RequestLimitsReceived(public val notice: RequestLimitNotice) : RoutingInput
 
+/** The leader settled these [doubts] of this router. */
+public data class DoubtsSettled(public val doubts: PersistentList<EndpointDoubt>) : RoutingInput
+
 /** The number of routers that share the fleet's allowances changed. */
 public data class RouterCountChanged(public val routers: Int) : RoutingInput
 
@@ -206,6 +210,9 @@
 /** Report to the leader the limits that endpoints named in their last answers to this router. */
 public data class ReportRequestLimits(public val report: RequestLimitReport) : RoutingEffect
 
+/** Report to the leader all [doubts] that this router has: after failures at these endpoints, it cannot tell whether they restarted. */
+public data class ReportDoubts(public val doubts: PersistentList<EndpointDoubt>) : RoutingEffect
+
 /** A report to the control replicas that may begin or end a quarantine. */
 public sealed interface QuarantineReport : RoutingEffect
 
--- a/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Fleets.kt
@@ -27,6 +27,9 @@
 /** Returns the first view number of the leader of [term]; it is higher than all view numbers of earlier leaders. */
 public fun firstFleetNumber(term: Long): Long = term shl TERM_SHIFT
 
+/** Returns the term of the leader that numbered a fleet view [number]; 0 for the platform's list. */
+public fun termOf(number: Long): Long = number shr TERM_SHIFT
+
 /** Returns the view with [endpoints] and [stores] under the next number, or this view when nothing differs. */
 public fun FleetView.next(endpoints: PersistentMap<EndpointName, FleetEndpoint>, stores: PersistentMap<ServiceName, Long>): FleetView =
     if (endpoints == this.endpoints && stores == this.stores) this else FleetView(number + 1, endpoints, stores)
--- a/version/src/main/kotlin/sniperoute/version/decision/RequestLimits.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/RequestLimits.kt
@@ -150,10 +150,10 @@
     return copy(permits = minOf(most, permits + perSecond * seconds))
 }
 
-private class PermitGrant(val kept: KeptRequestLimit, val permits: PersistentMap<RouterName, Int>)
+internal class PermitGrant(val kept: KeptRequestLimit, val permits: PersistentMap<RouterName, Int>)
 
 /** Grants all whole permits, each to the router whose tag is the lowest after it; a new router starts with the lowest tag. */
-private fun KeptRequestLimit.grantTo(routers: List<RouterName>, demand: (RouterName) -> Int): PermitGrant {
+internal fun KeptRequestLimit.grantTo(routers: List<RouterName>, demand: (RouterName) -> Int): PermitGrant {
     val whole = permits.toInt()
     if (whole == 0 || routers.isEmpty()) return PermitGrant(this, persistentMapOf())
     val costs = routers.associateWith { 1 / (demand(it) + MIN_DEMAND) }
--- a/version/src/main/kotlin/sniperoute/version/message/Declarations.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/Declarations.kt
@@ -143,7 +143,8 @@
 
 /**
  * A service with its endpoints, the weights that they serve (models only), and a move to other weights, if one is declared. The
- * endpoints of a service that [isListed] come from the platform's list.
+ * endpoints of a service that [isListed] come from the platform's list. They are cold for the time of [warmUp] after they start; `null` if
+ * they never are.
  */
 @Serializable
 public data class Service(
@@ -156,6 +157,7 @@
     public val engine: EngineProfile? = null,
     public val store: StoreAddress? = null,
     public val healthPath: String? = null,
+    public val warmUp: WarmUp? = null,
 )
 
 /** The declarations of all files together; [document] is their text when they were submitted as one document. */
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -17,19 +17,22 @@
 
 /**
  * Requests a new lease. The router serves by [revision] and by the fleet view numbered [fleet] now; its [evidence] counts from its
- * start.
+ * start. It sends this at [sentMicroseconds] by its own clock, and has these [doubts] about endpoints.
  */
 @Serializable
 public data class RenewRequest(
     public val revision: Long,
     public val evidence: SerializableList<RouteEvidence>,
     public val fleet: Long = 0,
+    public val sentMicroseconds: Long = 0,
+    public val doubts: SerializableList<EndpointDoubt> = persistentListOf(),
 ) : SessionMessage
 
 /**
  * Grants a lease of [leaseMilliseconds], counted from when the request was sent. The [changes] lead to [revision]; when [isWhole],
  * they replace everything that the router has. [members] are the VMs of the control replicas, [routers] is the number of routers that
- * share the allowances of the fleet, and [fleet] the number of the leader's fleet view, 0 while it has none.
+ * share the allowances of the fleet, and [fleet] the number of the leader's fleet view, 0 while it has none. The router's
+ * [settledDoubts] are over.
  */
 @Serializable
 public data class RenewReply(
@@ -42,6 +45,7 @@
     public val members: SerializableList<VmName> = persistentListOf(),
     public val routers: Int = 1,
     public val fleet: Long = 0,
+    public val settledDoubts: SerializableList<EndpointDoubt> = persistentListOf(),
 ) : SessionMessage
 
 /** Stands for the incarnation of a store that does not respond. */
@@ -70,13 +74,16 @@
 
 /**
  * Notifies a router of the [limits] of endpoints, and grants it [permits] for them. When [isComplete], no other endpoint has a limit.
- * Each grant is in one message only; if the message is lost, the permits are lost.
+ * Each grant is in one message only; if the message is lost, the permits are lost. The [warmingPermits] are for cold endpoints; their time
+ * counts from the renewal that the router sent at [renewalMicroseconds] by its own clock.
  */
 @Serializable
 public data class RequestLimitNotice(
     public val isComplete: Boolean,
     public val limits: SerializableList<RequestLimit>,
     public val permits: SerializableList<RequestPermits>,
+    public val warmingPermits: SerializableList<RequestPermits> = persistentListOf(),
+    public val renewalMicroseconds: Long = 0,
 ) : SessionMessage
 
 /** Reports to the leader the limits that endpoints named or ended in their last answers to this router. */
