--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -23,9 +23,12 @@
 import sniperoute.version.decision.RequestLimits
 import sniperoute.version.decision.RouterName
 import sniperoute.version.decision.TargetWeights
+import sniperoute.version.decision.WarmUpTolerance
+import sniperoute.version.decision.WarmingEndpoints
 import sniperoute.version.decision.WeightLoads
 import sniperoute.version.decision.noFleetWorkloads
 import sniperoute.version.decision.noRequestLimits
+import sniperoute.version.decision.noWarmingEndpoints
 import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.decision.with
 import sniperoute.version.message.EndpointName
@@ -118,18 +121,20 @@
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
     public val limits: RequestLimits,
     public val lateness: PersistentMap<ServiceName, Lateness> = persistentMapOf(),
+    public val warming: WarmingEndpoints,
 )
 
 /**
  * The settings for listed services. With [readsPlatformList] a leader reads the platform's list and reconciles the services in it. A new
  * leader sends their endpoints no load command for [loadCommandGracePeriod], after which commands of an earlier leader can no longer
  * take effect. Endpoints must change within [weightsLimit] of the naming of newer weights; when it is `null`, a strained service changes
- * its endpoints as fast as any other.
+ * its endpoints as fast as any other. Cold endpoints get requests within the [warmUpTolerance].
  */
 public data class FleetSettings(
     public val readsPlatformList: Boolean = false,
     public val loadCommandGracePeriod: Duration = Duration.ZERO,
     public val weightsLimit: Duration? = null,
+    public val warmUpTolerance: WarmUpTolerance = WarmUpTolerance(),
 )
 
 /**
@@ -170,6 +175,7 @@
     maximumElectionTimeout: Duration,
     leases: Leases,
     revision: Long,
+    tolerance: WarmUpTolerance,
 ): LeaderState = LeaderState(
     term = term,
     loadCommandsAllowedFrom = now + maximumElectionTimeout * 2,
@@ -188,6 +194,7 @@
     lastWeightsReads = persistentMapOf(),
     lastReportedRevision = revision,
     limits = noRequestLimits(now),
+    warming = noWarmingEndpoints(now, tolerance),
 )
 
 /** A state, and the effects that the duty performs for it. */
