--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -54,7 +54,8 @@
 
 /**
  * Load, weights and limit that an endpoint reports in the head of a response; `null` where it reports nothing. The endpoint may say that
- * it [isLeaving], and, when it rejects a request, that it wants no further one from this router for the time [pause].
+ * it [isLeaving], and, when it rejects a request, that it wants no further one from this router for the time [pause]. The [timeRatio] is
+ * the time that work takes there at present, in relation to the usual time.
  */
 public data class ResponseLoadReport(
     public val running: Int? = null,
@@ -63,6 +64,7 @@
     public val limit: NamedLimit? = null,
     public val isLeaving: Boolean = false,
     public val pause: Duration? = null,
+    public val timeRatio: Double? = null,
 )
 
 /** The head of a response was received. */
