Place requests by memory, queue and speed of each endpoint

Cause: the placement took the one endpoint with the best estimate and let the request wait, and be refused, if that one was full or queued, while others could have served it. Its time per token starts at 50 microseconds and is learned at each endpoint alone, so queues counted as several times too long. Declared memory was read and not used. Waiting prompts of less urgent requests kept urgent ones away from engines that would have begun them first.

Memory held, waiting tokens by rank and stated times pass in the workload messages as fields that are left out while empty. While the leader is silent, a router's own requests count as a sample of all. Memory, placement and speed stand in one commit, since they share the state and the estimate.

--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Candidates.kt
@@ -27,7 +27,15 @@
     val cached = if (service.isListed) cachedByWeights(request, candidates, now) else cachedBlocks(request, version, now)
     val last = request.chain.lastOrNull()
     val sharing = if (last == null) 0 else running.values.count { it.request.chain.lastOrNull() == last }
-    return PlacementContext(request, candidates, cached, sharing, placementCount, penalties = penalties(request, candidates, now))
+    return PlacementContext(
+        request = request,
+        candidates = candidates,
+        cachedBlocks = cached,
+        sharing = sharing,
+        placementCount = placementCount,
+        penalties = penalties(request, candidates, now),
+        capacity = if (isPlacedByCapacity(service.name)) capacityOf(service, now) else null,
+    )
 }
 
 private fun RoutingState.cachedBlocks(
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -98,9 +98,14 @@
     val ownRequest = OwnRequest(
         digest = request.digest,
         missedTokens = missed,
-        queuedTokens = endpoint.waitingTokens(now) + missed,
+        queuedTokens = queuedTokens(endpoint, request, now) + missed,
         hasFirstToken = false,
         isSuspect = request.digest in suspects,
+        heldTokens = neededMemory(request),
+        sharedTokens = request.sharedTokens,
+        sharedKey = request.chain.getOrNull(request.chain.size - 2),
+        timeRatio = endpoint.timeRatio(now),
+        rank = request.rank,
     )
     val payer = workspaceOrNull(request)?.takeIf { retry == null && it.isLimited }
     val paid = if (payer == null) tokens else tokens.spend(payer.name, request.tokens, now, neededTokens(payer, request, now))
@@ -126,10 +131,21 @@
         )
 }
 
+private fun RoutingState.capacityText(endpoint: EndpointState, now: Timestamp): String =
+    if (!isPlacedByCapacity(endpoint.service)) {
+        ""
+    } else {
+        ", by capacity: ${(endpoint.timeRatio(now) * PERCENT).toInt()} % of the usual time, ${endpoint.heldTokens(now)} tokens held"
+    }
+
+private fun RoutingState.queuedTokens(endpoint: EndpointState, request: AdmittedRequest, now: Timestamp): Long =
+    if (isPlacedByCapacity(endpoint.service)) endpoint.tokensAhead(request.rank, now) else endpoint.waitingTokens(now)
+
 /** Describes for people what the choice was based on. */
 private fun RoutingState.reason(request: AdmittedRequest, target: DispatchTarget, endpoint: EndpointState, now: Timestamp): String {
     val report = endpoint.report?.let { "load report ${(now - it.at).inWholeMilliseconds} ms old" } ?: "no load report"
     val waited = (now - request.arrived).inWholeMilliseconds
     return "of ${target.candidates} candidates, ${target.placement.missedTokens} of ${request.promptTokens} tokens to compute, " +
-        "${endpoint.ownRequests.size} own requests in flight, $report, fleet ${fleet.number}, waited $waited ms"
+        "${endpoint.ownRequests.size} own requests in flight, $report, fleet ${fleet.number}, " +
+        "waited $waited ms" + capacityText(endpoint, now)
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Endpoints.kt
@@ -4,6 +4,7 @@
  */
 package sniperoute.request.routing.decision
 
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -27,6 +28,10 @@
  * @property missedTokens are the tokens of its prompt that are expected to miss the endpoint's prefix cache.
  * @property queuedTokens are the tokens to be computed before its first token: [missedTokens] and those of earlier requests.
  * @property isSuspect is `true` if the request may have crashed an endpoint before.
+ * @property heldTokens are the tokens that it will hold in the endpoint's memory; [sharedTokens] of them, the blocks up to the one with the
+ *   key [sharedKey], it may share with other requests.
+ * @property rank is the request's place in the order of urgency, lower first.
+ * @property timeRatio is the ratio of the time that work took at the endpoint to the usual time when the request was sent.
  */
 public data class OwnRequest(
     public val digest: RequestDigest,
@@ -34,11 +39,16 @@
     public val queuedTokens: Long,
     public val hasFirstToken: Boolean,
     public val isSuspect: Boolean,
+    public val heldTokens: Long = 0,
+    public val sharedTokens: Long = 0,
+    public val sharedKey: Long? = null,
+    public val timeRatio: Double = 1.0,
+    public val rank: Int = 0,
 )
 
 /**
- * The load that was reported for an endpoint at [at]: requests in flight, and prompt tokens that wait to be computed.
- * [ownRunning] and [ownWaitingTokens] are the part of this router.
+ * The load that was reported for an endpoint at [at]: requests in flight, prompt tokens that wait to be computed, and tokens that the
+ * requests hold in its memory. [ownRunning], [ownWaitingTokens] and [ownHeldTokens] are the part of this router.
  */
 public data class LoadReport(
     public val at: Timestamp,
@@ -46,6 +56,10 @@
     public val waitingTokens: Long,
     public val ownRunning: Int,
     public val ownWaitingTokens: Long,
+    public val heldTokens: Long = 0,
+    public val ownHeldTokens: Long = 0,
+    public val waitingByRank: ImmutableMap<Int, Long> = persistentMapOf(),
+    public val ownWaitingByRank: ImmutableMap<Int, Long> = persistentMapOf(),
 )
 
 /** A request whose connection to the endpoint broke at [at]. */
@@ -69,6 +83,8 @@
  * @property limit bounds the requests that this router may send; `null` while the endpoint takes any number.
  * @property hasAnnouncedLeaving is `true` once a response said that the endpoint leaves; [isLeaving] is what lists and reports say.
  * @property pausedUntil is the time until which the endpoint wants no request from this router.
+ * @property statedTime is how long work takes there, as an answer to any router stated it last; `null` if none did.
+ * @property tokenTime is the measured time per prompt token, without the influence of the stated time.
  */
 public data class EndpointState(
     public val endpoint: Endpoint,
@@ -94,6 +110,8 @@
     public val limit: RouterRequestLimit? = null,
     public val hasAnnouncedLeaving: Boolean = false,
     public val pausedUntil: Timestamp = Timestamp.EARLIEST,
+    public val statedTime: StatedTime? = null,
+    public val tokenTime: MeasuredTime = MeasuredTime(),
 )
 
 /** Returns the weights that serve a request for [model] here, or `null` if they are unknown or there are none. */
@@ -110,7 +128,7 @@
 
 /** A request that broke within this time of a crash is charged with it. */
 private val CRASH_WINDOW = 2.seconds
-private val REPORT_LIFETIME = 2.seconds
+internal val REPORT_LIFETIME = 2.seconds
 private const val MAX_DOUBLINGS = 4
 
 /** The weight of a new sample in the moving average of the time per token. */
@@ -161,7 +179,7 @@
 }
 
 /** Shorter computations say little about the time per token. */
-private const val MIN_SAMPLE_TOKENS = 1_000L
+internal const val MIN_SAMPLE_TOKENS = 1_000L
 
 /** Returns the endpoint without the request [id]. */
 public fun EndpointState.withoutRequest(id: RequestId): EndpointState = copy(ownRequests = ownRequests.remove(id))
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Placements.kt
@@ -21,6 +21,7 @@
  * @property sharing is the number of requests in flight with the same chain of whole blocks.
  * @property placementCount is the number of placements before this one.
  * @property cachedTokens is [cachedBlocks] in tokens.
+ * @property capacity is what is known of the capacity of all candidates; `null` if the request is not placed by it.
  * @property penalties are added to the expected time of endpoints that serve older weights or fail more often than others.
  */
 public class PlacementContext(
@@ -31,6 +32,7 @@
     public val placementCount: Long,
     public val cachedTokens: PersistentMap<EndpointName, Long> = cachedBlocks.mapToTokens(request),
     public val penalties: PersistentMap<EndpointName, Duration> = persistentMapOf(),
+    public val capacity: ServiceCapacity? = null,
 )
 
 private fun PersistentMap<EndpointName, Int>.mapToTokens(request: AdmittedRequest): PersistentMap<EndpointName, Long> =
@@ -55,16 +57,26 @@
  * broken by rendezvous hashing.
  */
 public fun earliestFirstToken(recomputeWeight: Double): PlacementPolicy = { context, now ->
+    val capacity = context.capacity
+    if (capacity == null) context.earliestOrNull(recomputeWeight, now) else context.placeByCapacity(capacity, now)
+}
+
+private fun PlacementContext.earliestOrNull(recomputeWeight: Double, now: Timestamp): Placement? {
+    val context = this
     val affinityKey = context.request.affinityKey
-    val weight = (recomputeWeight / (1 + context.sharing.squaredOver(HOT_PREFIX_REQUESTS))).coerceAtLeast(1.0)
+    val weight = context.weightOf(recomputeWeight)
     val preferred = context.preferredEndpointOrNull(affinityKey)
-    context.candidates
+    return context.candidates
         .map { candidate -> context.estimate(candidate, affinityKey, weight, candidate.endpoint.name == preferred, now) }
         .minWithOrNull(compareBy<Estimate> { it.timeSteps }.thenByDescending { it.hashWeight })
         ?.takeIf { it.hasFreeSlot && it.queueingTime <= context.maxQueueingTime() }
         ?.placement
 }
 
+/** Returns the weight of a token that misses the prefix cache, which falls as more requests share the prompt's blocks. */
+internal fun PlacementContext.weightOf(recomputeWeight: Double): Double =
+    (recomputeWeight / (1 + sharing.squaredOver(HOT_PREFIX_REQUESTS))).coerceAtLeast(1.0)
+
 /** A prefix is hot when clearly more than this number of requests in flight share it. */
 private const val HOT_PREFIX_REQUESTS = 4.0
 
@@ -78,7 +90,7 @@
  * endpoint is known to cache them. Until one is known, all routers place requests as if the preferred endpoint cached the blocks. So
  * requests that reach different routers at the same time go to the endpoint that computes the blocks first.
  */
-private fun PlacementContext.preferredEndpointOrNull(affinityKey: Long): EndpointName? {
+internal fun PlacementContext.preferredEndpointOrNull(affinityKey: Long): EndpointName? {
     if (request.chain.size < 2 || cachedBlocks.any { (_, blocks) -> blocks >= request.chain.size - 1 }) return null
     return candidates.maxByOrNull { rendezvousWeight(affinityKey, it.endpoint.name.text) }?.endpoint?.name
 }
@@ -123,7 +135,7 @@
  * with random arrivals does. An endpoint without a free slot counts as if it had half a slot, so that a request may wait for it if
  * its prompt is cached there.
  */
-private fun EndpointState.batchCost(now: Timestamp): Duration {
+internal fun EndpointState.batchCost(now: Timestamp): Duration {
     val free = freeSlots(now).toDouble().coerceAtLeast(HALF_SLOT) / endpoint.slots
     return HALF_BATCH_COST * ((1.0 - free) / free)
 }
@@ -132,7 +144,7 @@
 
 private fun PlacementContext.free(now: Timestamp): List<EndpointState> = candidates.filter { it.freeSlots(now) > 0 }
 
-private fun PlacementContext.missedTokens(candidate: EndpointState): Long {
+internal fun PlacementContext.missedTokens(candidate: EndpointState): Long {
     val cached = cachedTokens[candidate.endpoint.name] ?: 0
     return (request.promptTokens - cached).coerceAtLeast(0)
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Routing.kt
@@ -151,14 +151,15 @@
 
 private fun RoutingState.onFirstToken(input: FirstTokenReceived, now: Timestamp): RoutingState {
     val run = running[input.id] ?: return this
-    return withEndpoint(run.endpoint) { it.withFirstToken(input.id, input.after) }
+    return withMeasuredTime(run, input.after)
+        .withEndpoint(run.endpoint) { it.withFirstToken(input.id, input.after) }
         .addEvidence(run) { it.addResponse((now - run.started).toDouble(DurationUnit.MILLISECONDS)) }
 }
 
 /** Takes over what the head of a response reports. The weights there are newer than those in any list. */
 private fun RoutingState.onHead(input: ResponseHeadReceived, now: Timestamp): RoutingStep {
     val run = running[input.id] ?: return unchanged()
-    val next = withLoad(run, input.load, now).withNotices(run, input.load, now)
+    val next = withLoad(run, input.load, now).withNotices(run, input.load, now).withStatedTime(run, input.load, now)
     val named = input.load.limit ?: return next.unchanged()
     return next.onNamedLimit(run.endpoint, named, now)
 }
@@ -167,6 +168,12 @@
 private fun RoutingState.withNotices(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState =
     withEndpoint(run.endpoint) { if (run.request.id in it.ownRequests) it.withNotices(load, now) else it }
 
+private fun RoutingState.withStatedTime(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState {
+    val ratio = load.timeRatio ?: return this
+    val endpoint = endpoints[run.endpoint]?.takeIf { run.request.id in it.ownRequests } ?: return this
+    return withStatedTime(endpoint, ratio, now)
+}
+
 private fun RoutingState.withLoad(run: RunningRequest, load: ResponseLoadReport, now: Timestamp): RoutingState =
     withEndpoint(run.endpoint) { endpoint ->
         val model = run.request.model
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/RoutingStates.kt
@@ -75,6 +75,10 @@
  * @property reportedWorkloads are this router's workloads as it last reported them.
  * @property servedBlocks are the shared blocks of prompts that were answered a short time ago, and when.
  * @property newlyCached are blocks that were computed or saved since the last workload report.
+ * @property statedServices are the services of which an endpoint has stated how long work takes there.
+ * @property newlyStated are the endpoints that stated it to this router since the last workload report.
+ * @property serviceTimes are the times that this router has measured.
+ * @property lastSharedWorkload is when the leader last sent the workload of all routers.
  */
 public data class RoutingState(
     public val view: ServingView,
@@ -102,6 +106,10 @@
     public val lastControlContact: Timestamp = Timestamp.EARLIEST,
     public val servedBlocks: PersistentMap<BlockId, Timestamp> = persistentMapOf(),
     public val nextLimitReport: Timestamp = Timestamp.EARLIEST,
+    public val statedServices: PersistentSet<ServiceName> = persistentSetOf(),
+    public val newlyStated: PersistentSet<EndpointName> = persistentSetOf(),
+    public val serviceTimes: PersistentMap<ServiceName, ServiceTimes> = persistentMapOf(),
+    public val lastSharedWorkload: Timestamp = Timestamp.EARLIEST,
 )
 
 /** Returns the tokens of a workspace that each of a number of routers may hold for the next requests, whatever its recent use. */
@@ -111,6 +119,7 @@
  * Settings of the routing duty.
  *
  * @property weightsLimit is the time after which no request begins on weights that newer ones have replaced; `null` for no limit.
+ * @property capacityPlacement says which services have their requests placed by the capacity of each endpoint.
  * @property accruesWithoutControl lets the router spend its equal share of each rate while it has no contact with the control replicas.
  */
 public data class RoutingSettings(
@@ -118,6 +127,7 @@
     public val weightsLimit: Duration? = null,
     public val accruesWithoutControl: Boolean = false,
     public val minimumTokenReserve: MinimumTokenReserve = { _, _ -> 0 },
+    public val capacityPlacement: CapacityPlacement = CapacityPlacement.NEVER,
 )
 
 /** Target weights of a model, and when this router learned of them. */
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.routing.message.FleetWorkloadReceived
@@ -32,14 +33,14 @@
 
 private fun RoutingState.reportChangedWorkload(now: Timestamp): RoutingStep {
     val changed = endpoints.values
-        .map { it.workload() }
+        .map { it.workload(this) }
         .filter { it != (reportedWorkloads[it.endpoint] ?: EndpointWorkload(it.endpoint, 0, 0)) }
     if (changed.isEmpty() && newlyCached.isEmpty()) return unchanged()
     return report(WorkloadReport(changed.toPersistentList(), newlyCached), reportedWorkloads, now)
 }
 
 private fun RoutingState.reportWholeWorkload(now: Timestamp): RoutingStep {
-    val whole = endpoints.values.map { it.workload() }.filter { it.running > 0 }
+    val whole = endpoints.values.map { it.workload(this) }.filter { it.running > 0 }
     return copy(nextCompleteReport = now + COMPLETE_REPORT_INTERVAL)
         .report(WorkloadReport(whole.toPersistentList(), newlyCached, isComplete = true), reportedWorkloads.clear(), now)
 }
@@ -49,20 +50,38 @@
     before: PersistentMap<EndpointName, EndpointWorkload>,
     now: Timestamp,
 ): RoutingStep = copy(
-    reportedWorkloads = report.work.fold(before) { all, workload -> all.put(workload.endpoint, workload) },
+    reportedWorkloads = report.work.fold(before) { all, workload -> all.put(workload.endpoint, workload.copy(timePercent = 0)) },
     newlyCached = persistentListOf(),
+    newlyStated = newlyStated.clear(),
     nextWorkloadReport = now + REPORT_INTERVAL,
 ).unchanged().emit(ReportWorkload(report))
 
-private fun EndpointState.workload(): EndpointWorkload = EndpointWorkload(endpoint.name, ownRequests.size, ownWaitingTokens())
+private fun EndpointState.workload(state: RoutingState): EndpointWorkload = EndpointWorkload(
+    endpoint = endpoint.name,
+    running = ownRequests.size,
+    waitingTokens = ownWaitingTokens(),
+    heldTokens = if (state.isPlacedByCapacity(service)) ownHeldTokens() else 0,
+    waitingByRank = if (state.isPlacedByCapacity(service)) ownWaitingByRank() else persistentMapOf(),
+    timePercent = if (endpoint.name in state.newlyStated) statedPercent() else 0,
+)
 
 /** Returns the state after the leader sent the workload of all routers, which includes what this router reported last. */
 internal fun RoutingState.onFleetWorkload(input: FleetWorkloadReceived, now: Timestamp): RoutingState {
     val loaded = input.message.work.fold(this) { state, total ->
         val own = reportedWorkloads[total.endpoint]
-        val report = LoadReport(now, total.running, total.waitingTokens, own?.running ?: 0, own?.waitingTokens ?: 0)
-        state.withEndpoint(total.endpoint) { it.copy(report = report, isReportShared = true) }
+        val report = LoadReport(
+            at = now,
+            running = total.running,
+            waitingTokens = total.waitingTokens,
+            ownRunning = own?.running ?: 0,
+            ownWaitingTokens = own?.waitingTokens ?: 0,
+            heldTokens = total.heldTokens,
+            ownHeldTokens = own?.heldTokens ?: 0,
+            waitingByRank = total.waitingByRank,
+            ownWaitingByRank = own?.waitingByRank ?: persistentMapOf(),
+        )
+        state.withSharedWorkload(total, report, now)
     }
     val index = input.message.held.fold(loaded.cacheIndex) { all, blocks -> all.addBlocks(blocks.endpoint, blocks.keys, now) }
-    return loaded.copy(cacheIndex = index)
+    return loaded.copy(cacheIndex = index, lastSharedWorkload = now)
 }
--- a/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/Requests.kt
@@ -31,6 +31,7 @@
  * @property sharedBlocks identify the content of the blocks of the prompt that other prompts may contain.
  * @property promptTokens is an upper estimate.
  * @property answerTokens is an upper estimate.
+ * @property expectedAnswerTokens is the number of tokens that the answer is likely to have.
  * @property blockTokens holds the tokens up to the end of each block; empty when all blocks have [BLOCK_TOKENS] tokens.
  * @property affinityKey is the key of rendezvous hashing: requests with the same key prefer the same endpoint.
  * @property rank orders requests in the queue; lower ranks go first.
@@ -57,6 +58,7 @@
     public val queueDeadline: Timestamp = deadline,
     public val tokens: Long = promptTokens + answerTokens,
     public val sharedBlocks: PersistentList<BlockId> = persistentListOf(),
+    public val expectedAnswerTokens: Long = answerTokens,
 ) {
     /** The tokens of all blocks but the last. Other prompts may share these; the last block belongs to this request alone. */
     public val sharedTokens: Long get() = tokensOf(chain.size - 1)
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -34,7 +34,8 @@
 
 /**
  * The last reported workload of each router, the endpoints whose workload [changed] since the last message to routers, and the
- * reported cache blocks, [held] by endpoints and stores, that are still to be sent to routers. No message is due before [nextUpdate].
+ * reported cache blocks, [held] by endpoints and stores, and times in percent, [stated] by endpoints, that are still to be sent to routers.
+ * No message is due before [nextUpdate].
  */
 public data class FleetWorkloads(
     public val byRouter: PersistentMap<RouterName, PersistentMap<EndpointName, EndpointWorkload>>,
@@ -42,6 +43,7 @@
     public val held: PersistentList<CachedBlocks>,
     public val nextFullUpdate: Timestamp,
     public val nextUpdate: Timestamp,
+    public val stated: PersistentMap<EndpointName, Int> = persistentMapOf(),
 )
 
 /** Returns the state of a leader that has received no report yet. */
@@ -55,11 +57,19 @@
 public fun FleetWorkloads.recordReport(router: RouterName, report: WorkloadReport): FleetWorkloads {
     val before = byRouter[router] ?: persistentMapOf()
     val workloads = report.work.fold(if (report.isComplete) before.clear() else before) { all, workload ->
-        if (workload.running == 0) all.remove(workload.endpoint) else all.put(workload.endpoint, workload)
+        if (workload.running == 0) all.remove(workload.endpoint) else all.put(workload.endpoint, workload.copy(timePercent = 0))
+    }
+    val statedNow = report.work.filter { it.timePercent > 0 }.fold(stated) { all, workload ->
+        all.put(workload.endpoint, workload.timePercent)
     }
     val reported = report.work.map { it.endpoint }
     val endpoints = if (report.isComplete) (before.keys + reported).filter { before[it] != workloads[it] } else reported
-    return copy(byRouter = byRouter.put(router, workloads), changed = changed.addAll(endpoints), held = held.addAll(report.held))
+    return copy(
+        byRouter = byRouter.put(router, workloads),
+        changed = changed.addAll(endpoints).addAll(statedNow.keys),
+        held = held.addAll(report.held),
+        stated = statedNow,
+    )
 }
 
 /** Returns the state without routers that are not in [live]; their requests have ended or will be reported again. */
@@ -92,5 +102,14 @@
 
 private fun FleetWorkloads.total(endpoint: EndpointName): EndpointWorkload {
     val workloads = byRouter.values.mapNotNull { it[endpoint] }
-    return EndpointWorkload(endpoint, workloads.sumOf { it.running }, workloads.sumOf { it.waitingTokens })
+    return EndpointWorkload(
+        endpoint = endpoint,
+        running = workloads.sumOf { it.running },
+        waitingTokens = workloads.sumOf { it.waitingTokens },
+        heldTokens = workloads.sumOf { it.heldTokens },
+        waitingByRank = workloads.flatMap { it.waitingByRank.entries }.fold(persistentMapOf()) { all, (rank, tokens) ->
+            all.put(rank, (all[rank] ?: 0) + tokens)
+        },
+        timePercent = stated[endpoint] ?: 0,
+    )
 }
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -47,10 +47,22 @@
 /** Stands for the incarnation of a store that does not respond. */
 public const val STORE_UNREACHABLE: Long = 0
 
-/** The workload of routers at an endpoint: the number of running requests, and of prompt tokens that are not computed yet. */
+/**
+ * The workload of routers at an endpoint: the number of running requests, of prompt tokens that are not computed yet, and of tokens that
+ * the running requests hold in its memory, or will hold. [waitingByRank] has the [waitingTokens] by the rank of their requests, where it is
+ * used. The [timePercent] is the time that work takes there in percent of the usual
+ * time, as an answer stated it since the last message; 0 if none did.
+ */
 @Serializable
 @SerialName("sniperoute.version.message.EndpointWork")
-public data class EndpointWorkload(public val endpoint: EndpointName, public val running: Int, public val waitingTokens: Long)
+public data class EndpointWorkload(
+    public val endpoint: EndpointName,
+    public val running: Int,
+    public val waitingTokens: Long,
+    public val heldTokens: Long = 0,
+    public val waitingByRank: SerializableMap<Int, Long> = persistentMapOf(),
+    public val timePercent: Int = 0,
+)
 
 /** The keys of cache blocks that an endpoint or a store holds from now on. */
 @Serializable
