--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Dispatching.kt
@@ -6,6 +6,7 @@
 import sniperoute.process.clock.Timestamp
 import sniperoute.request.admission.decision.isReady
 import sniperoute.request.routing.message.AdmittedRequest
+import sniperoute.request.routing.message.CapacityReason
 import sniperoute.request.routing.message.Dispatch
 import sniperoute.request.routing.message.PlacementReason
 import sniperoute.version.message.Service
@@ -100,9 +101,14 @@
     val ownRequest = OwnRequest(
         digest = request.digest,
         missedTokens = missed,
-        queuedTokens = endpoint.waitingTokens(now) + missed,
+        queuedTokens = queuedTokens(endpoint, request, now) + missed,
         hasFirstToken = false,
         isSuspect = request.digest in suspects,
+        heldTokens = neededMemory(request),
+        sharedTokens = request.sharedTokens,
+        sharedKey = request.chain.getOrNull(request.chain.size - 2),
+        timeRatio = endpoint.timeRatio(now),
+        rank = request.rank,
     )
     val payer = workspaceOrNull(request)?.takeIf { retry == null && it.isLimited }
     val paid = if (payer == null) tokens else tokens.spend(payer.name, request.tokens, now, neededTokens(payer, request, now))
@@ -142,4 +148,8 @@
     reportAge = endpoint.report?.let { now - it.at },
     fleet = fleet.number,
     waited = now - request.arrived,
+    capacity = if (isPlacedByCapacity(endpoint.service)) CapacityReason(endpoint.timeRatio(now), endpoint.heldTokens(now)) else null,
 )
+
+private fun RoutingState.queuedTokens(endpoint: EndpointState, request: AdmittedRequest, now: Timestamp): Long =
+    if (isPlacedByCapacity(endpoint.service)) endpoint.tokensAhead(request.rank, now) else endpoint.waitingTokens(now)
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -55,7 +55,8 @@
 
 /**
  * Load, weights and limit that an endpoint reports in the head of a response; `null` where it reports nothing. The endpoint may say that
- * it [isLeaving], and, when it rejects a request, that it wants no further one from this router for the time [pause].
+ * it [isLeaving], and, when it rejects a request, that it wants no further one from this router for the time [pause]. The [timeRatio] is
+ * the time that work takes there at present, in relation to the usual time.
  */
 public data class ResponseLoadReport(
     public val running: Int? = null,
@@ -64,6 +65,7 @@
     public val limit: NamedLimit? = null,
     public val isLeaving: Boolean = false,
     public val pause: Duration? = null,
+    public val timeRatio: Double? = null,
 )
 
 /** The head of a response was received. */
@@ -191,7 +193,8 @@
 
 /**
  * What the choice of an endpoint was based on: the number of candidates, the tokens of the prompt and those to compute, this router's
- * requests in flight there, the age of the endpoint's load report, the fleet view, and how long the request had waited.
+ * requests in flight there, the age of the endpoint's load report, the fleet view, how long the request had waited, and the [capacity] of the
+ * endpoint where placement looks at that.
  */
 public data class PlacementReason(
     public val candidates: Int,
@@ -201,15 +204,23 @@
     public val reportAge: Duration?,
     public val fleet: Long,
     public val waited: Duration,
+    public val capacity: CapacityReason? = null,
 ) {
     /** Returns the reason as text; it is not written for each request, since that takes processor time. */
     public fun describe(): String {
         val report = reportAge?.let { "load report ${it.inWholeMilliseconds} ms old" } ?: "no load report"
         return "of $candidates candidates, $missedTokens of $promptTokens tokens to compute, $ownRequests own requests in flight, " +
-            "$report, fleet $fleet, waited ${waited.inWholeMilliseconds} ms"
+            "$report, fleet $fleet, waited ${waited.inWholeMilliseconds} ms" + capacity?.describe().orEmpty()
     }
 }
 
+/** The time that work takes at an endpoint, as a multiple of the usual time, and the tokens that are held in its memory. */
+public data class CapacityReason(public val timeRatio: Double, public val heldTokens: Long) {
+    internal fun describe(): String = ", by capacity: ${(timeRatio * PERCENT).toInt()} % of the usual time, $heldTokens tokens held"
+}
+
+private const val PERCENT = 100
+
 /** Respond to the request with [refusal]. */
 public data class Refuse(public val id: RequestId, public val refusal: Refusal) : RoutingEffect
 
