--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerBudgets.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerBudgets.kt
@@ -72,10 +72,8 @@
     internal fun mayRun(): Boolean = (held.heldBytes <= bounds.bytes).also { if (!it) refused.incrementAndGet() }
 
     internal fun open(channel: Channel, onYield: () -> Unit): CallerHolder {
-        val holder = CallerHolder(this, channel, bounds.outputWeight, clock, onYield)
-        holders += holder
-        if (holders.size > bounds.connections) limitConnections()
-        return holder
+        if (holders.size >= bounds.connections) limitConnections()
+        return CallerHolder(this, channel, bounds.outputWeight, clock, onYield).also { holders += it }
     }
 
     internal fun close(holder: CallerHolder) {
@@ -109,7 +107,7 @@
         if (chosen.isEmpty()) futileUntil.set(now + PAUSE_AFTER_FUTILE_LOOK)
         val last = reported.get()
         if (now - last >= REPORT_INTERVAL && reported.compareAndSet(last, now)) {
-            onLimited("$reason, of ${holders.size} connections ${chosen.size} yield, $yieldedCount so far")
+            onLimited("$reason, of ${holdings.size} connections ${chosen.size} yield, $yieldedCount so far")
         }
     }
 
--- a/connection/src/main/kotlin/sniperoute/connection/http/CallerHolders.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/http/CallerHolders.kt
@@ -121,8 +121,7 @@
 
     /** Counts as ended at once, so that no other connection yields for the same bytes, and ends on the connection's thread. */
     fun yieldRoom() {
-        isYielding = true
-        budget.change(-charged.getAndSet(0))
+        close()
         if (channel.eventLoop().inEventLoop()) onYield() else channel.eventLoop().execute(onYield)
     }
 
