--- a/request/src/main/kotlin/sniperoute/request/admission/decision/ReturnTimes.kt
+++ b/request/src/main/kotlin/sniperoute/request/admission/decision/ReturnTimes.kt
@@ -1,8 +1,8 @@
 /**
- * When callers of refused requests should come back. The load that this decides about is more requests than the endpoints of a service take,
- * as in a burst: callers who return at once meet the same queues and have spent their next try, and those who were refused together return
- * together. So they are told to wait until the shortest queue has fallen to what their requests may wait, spread over as much time again.
- * Those refused earlier return earlier.
+ * When callers of refused requests should come back. The load that this decides about is more requests than the endpoints of a service
+ * take, as in a burst: callers who return at once meet the same queues and have spent their next try, and those who were refused together
+ * return together. So they are told to wait until the shortest queue has fallen to what their requests may wait, spread over as much time
+ * again. Those refused earlier return earlier.
  */
 package sniperoute.request.admission.decision
 
--- a/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/decision/Workloads.kt
@@ -45,8 +45,8 @@
 }
 
 /**
- * Returns the workloads at the endpoints that have requests of this router, or had some when it last reported, and at those that stated their
- * time since then; all others are 0.
+ * Returns the workloads at the endpoints that have requests of this router, or had some when it last reported, and at those that stated
+ * their time since then; all others are 0.
  */
 private fun RoutingState.ownWorkloads(): List<EndpointWorkload> =
     (running.values.map { it.endpoint } + reportedWorkloads.keys + newlyStated).distinct().mapNotNull { endpoints[it]?.workload(this) }
--- a/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
+++ b/request/src/main/kotlin/sniperoute/request/routing/message/RoutingInputs.kt
@@ -193,8 +193,8 @@
 
 /**
  * What the choice of an endpoint was based on: the number of candidates, the tokens of the prompt and those to compute, this router's
- * requests in flight there, the age of the endpoint's load report, the fleet view, how long the request had waited, and the [capacity] of the
- * endpoint where placement looks at that.
+ * requests in flight there, the age of the endpoint's load report, the fleet view, how long the request had waited, and the [capacity] of
+ * the endpoint where placement looks at that.
  */
 public data class PlacementReason(
     public val candidates: Int,
--- a/request/src/test/kotlin/sniperoute/request/ReturnTimesTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/ReturnTimesTest.kt
@@ -1,6 +1,6 @@
 /**
- * Plays a burst before a service that takes a fixed number of requests a second: callers whose requests are refused come back once, when they
- * are told. Checks how many of them get an answer before their deadline.
+ * Plays a burst before a service that takes a fixed number of requests a second: callers whose requests are refused come back once, when
+ * they are told. Checks how many of them get an answer before their deadline.
  */
 package sniperoute.request
 
