Record when a service becomes strained and when it is relieved

Cause: an operator couldn't see why endpoints changed weights more slowly. Measured: LoadPacingTest and the tests of control passed.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -93,7 +93,8 @@
  * while an earlier token command is pending. [pendingMoveAdvances] are the services for whose move an advance was proposed in the last
  * tick. [servedWeights] holds the last weights read from each endpoint, [lastReportedRevision] the newest revision that was recorded as
  * in force everywhere, [lastListRead] the time at which the platform's list was last read in full, [storeIncarnations] the incarnation
- * of each cache store, or that it is unreachable, and [lateness] how many first tokens of each service come late.
+ * of each cache store, or that it is unreachable, [lateness] how many first tokens of each service come late, and [strained] the services
+ * for which that is too many.
  */
 public data class LeaderState(
     public val term: Long,
@@ -121,6 +122,7 @@
     public val nextStoreCheck: Timestamp = Timestamp.EARLIEST,
     public val limits: RequestLimits,
     public val lateness: PersistentMap<ServiceName, Lateness> = persistentMapOf(),
+    public val strained: PersistentSet<ServiceName> = persistentSetOf(),
     public val warming: WarmingEndpoints,
 )
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -269,6 +269,7 @@
         .emit(SendSessionReply(input.from, reply))
         .then { it.sendFleetIfStale(input.from, request.fleet) }
         .then { if (isNewRouter) it.sendRequestLimits(input.from) else it.unchanged() }
+        .then { it.reportStrain(now) }
         .then { it.recordIfInForceEverywhere(now) }
 }
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import sniperoute.control.message.*
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.identity.VmName
@@ -106,8 +107,7 @@
 
 private fun ControlDutyState.maxOpenCommands(leader: LeaderState, now: Timestamp): MaxOpenCommands = { service, size, outdated ->
     val limit = settings.weightsLimit
-    val isStrained = leader.lateness[service]?.isStrained(now) ?: false
-    if (limit == null || !isStrained) {
+    if (limit == null || service !in leader.strained) {
         maxOpenCommands(size)
     } else {
         fewestOpenCommands(size, outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }, limit, now)
@@ -127,6 +127,24 @@
     }
 }
 
+/** Records in the time line which services have become strained or are so no longer. */
+internal fun ControlDutyState.reportStrain(now: Timestamp): ControlStep {
+    val leader = leaderState ?: return unchanged()
+    val strained = leader.lateness.filter { (service, lateness) -> lateness.isStrained(now, service in leader.strained) }.keys
+    if (strained == leader.strained) return unchanged()
+    val begun = (strained - leader.strained).map { service ->
+        val lateness = leader.lateness.getValue(service)
+        val detail = "service $service: ${(lateness.late * PERCENT / lateness.total).toInt()} % of the first tokens came late"
+        RecordTimelineEvent(EventKind.SERVICE_STRAINED, EventSubject(), detail)
+    }
+    val ended = (leader.strained - strained).map { RecordTimelineEvent(EventKind.SERVICE_RELIEVED, EventSubject(), "service $it") }
+    return (begun + ended).fold(
+        updateLeader { copy(strained = strained.toPersistentSet()) }.unchanged(),
+    ) { step, event -> step.emit(event) }
+}
+
+private const val PERCENT = 100
+
 /** Computes the fleet view anew; when it differs from the last one, stores it and notifies routers of the changes. */
 internal fun ControlDutyState.publishFleet(): ControlStep {
     val leader = leaderState ?: return unchanged()
--- a/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
@@ -60,9 +60,12 @@
 /** In this time, the weight of a count halves. */
 private val LATENESS_HALF_LIFE: Duration = 1_000.milliseconds
 
-/** A service is strained when more than this share of its first tokens comes later than the objective. */
+/** A service becomes strained when more than this share of its first tokens comes later than the objective. */
 private const val STRAINED_SHARE = 0.1
 
+/** A strained service remains so until this share is reached, so that single requests don't end it and begin it again. */
+private const val RELIEVED_SHARE = 0.05
+
 /** Fewer first tokens say little. */
 private const val MIN_STRAINED_COUNT = 5.0
 
@@ -74,9 +77,12 @@
 
 private fun Lateness.keptAt(now: Timestamp): Double = 0.5.pow((now - at).coerceAtLeast(Duration.ZERO) / LATENESS_HALF_LIFE)
 
-/** Whether so many callers of the service get their first token late at [now] that none of its endpoints should be away without need. */
-public fun Lateness.isStrained(now: Timestamp): Boolean =
-    total * keptAt(now) >= MIN_STRAINED_COUNT && late > total * STRAINED_SHARE
+/**
+ * Whether so many callers of the service get their first token late at [now] that none of its endpoints should be away without need;
+ * [wasStrained] says whether that was so before.
+ */
+public fun Lateness.isStrained(now: Timestamp, wasStrained: Boolean = false): Boolean =
+    total * keptAt(now) >= MIN_STRAINED_COUNT && late > total * (if (wasStrained) RELIEVED_SHARE else STRAINED_SHARE)
 
 /** Returns how many first tokens [after] counts since [before], and how many of them took longer than [objectiveMilliseconds]. */
 public fun lateSince(before: EvidenceSum, after: EvidenceSum, objectiveMilliseconds: Long): Pair<Long, Long> {
--- a/version/src/test/kotlin/sniperoute/version/LoadPacingTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/LoadPacingTest.kt
@@ -98,6 +98,8 @@
         expectThat(strained.isStrained(start)).isTrue()
         expectThat(strained.isStrained(start + 10.seconds)).isFalse()
         expectThat(strained.record(late = 0, total = 100, now = start + 1.seconds).isStrained(start + 1.seconds)).isFalse()
+        expectThat(Lateness(7.0, 100.0, start).isStrained(start, wasStrained = false)).describedAs("7 of 100").isFalse()
+        expectThat(Lateness(7.0, 100.0, start).isStrained(start, wasStrained = true)).describedAs("7 of 100 after more").isTrue()
         expectThat(Lateness(1.0, 2.0, start).isStrained(start)).describedAs("two requests").isFalse()
     }
 
