Send the changes of a configuration in pages that a slow link carries

Cause: one reply to a renewal held all changes, 0.49 s on such a link. The router gave the renewal up after 0.4 s, sent another and then took the reply to the newest one only, so that nothing that arrived was kept.

It serves the catalogue when the last page is there. A reply to a renewal that was sent again counts; the time until then follows the time that replies take.

ConfigurationsTest and BlockQuarantineTest call the new function.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -252,18 +252,20 @@
     }
     val (doubted, settled) = renewed.recordDoubts(input.router, request, now)
     val published = replicatedState.published
-    val since = published.changesSince(request.revision)
+    val page = published.pageSince(request.revision, request.cursor)
     val reply = RenewReply(
         term = checkNotNull(leaderState) { "only a leader renews leases" }.term,
         leaseMilliseconds = LEASE_DURATION.inWholeMilliseconds,
         revision = published.revision,
         configuration = replicatedState.configurations.number,
-        isWhole = since.isWhole,
-        changes = since.changes,
+        isWhole = page.isWhole,
+        changes = page.changes,
         members = status.memberVms(),
         routers = checkNotNull(renewed.leaderState) { "only a leader renews leases" }.leases.routers.size,
         fleet = leaderState?.fleet?.number ?: 0,
         settledDoubts = settled.toPersistentList(),
+        continues = page.continues,
+        next = page.next,
     )
     return doubted
         .emit(SendSessionReply(input.from, reply))
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -22,21 +22,29 @@
 import sniperoute.request.routing.message.TokensGranted
 import sniperoute.router.message.*
 import sniperoute.version.decision.FleetView
+import sniperoute.version.decision.IncomingCatalogue
 import sniperoute.version.decision.advance
 import sniperoute.version.decision.applyOrNull
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.emptyFleetView
+import sniperoute.version.decision.isFollowedBy
+import sniperoute.version.decision.join
+import sniperoute.version.decision.withPage
 import sniperoute.version.message.*
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val RENEW_INTERVAL = 500.milliseconds
 private val REPLY_TIMEOUT = 400.milliseconds
+
+/** Leaves time within a lease to find another leader. */
+private val MAX_REPLY_TIMEOUT = 1_200.milliseconds
+private const val MAX_ABANDONED_RENEWALS = 8
 private val LEDGER_TIMEOUT = 3_000.milliseconds
 private val LEASE_MARGIN = 100.milliseconds
 
-/** A renewal that was sent and has no reply yet. */
-public data class PendingRenewal(public val correlation: Long, public val sent: Timestamp)
+/** A renewal that was sent and has no reply yet. It continues the catalogue from the [cursor]. */
+public data class PendingRenewal(public val correlation: Long, public val sent: Timestamp, public val cursor: CatalogueCursor? = null)
 
 /** A ledger request without a reply, first [issued] and last [sent] under [correlation]. */
 public data class PendingLedgerRequest(
@@ -51,6 +59,9 @@
  * The state of the session duty. [leader] is the replica that is taken for the leader, and [view] what the router may serve and until
  * when. A lease that expired is reported once, which [isLeaseLossReported] records. [lastFleetUpdate] is when the leader's fleet view
  * was last known to be current, [routerCount] how many routers share the allowances, and [doubts] those of the routing duty.
+ *
+ * A renewal without a reply within [replyTimeout] is sent again. The earlier one is among the [abandonedRenewals]: a reply that
+ * took longer still renews the lease and brings a part of the [incoming] catalogue.
  */
 public data class ControlSession(
     public val replicas: PersistentList<VmName>,
@@ -70,6 +81,9 @@
     public val nextDiscovery: Timestamp = Timestamp.EARLIEST,
     public val routerCount: Int = 1,
     public val doubts: ImmutableList<EndpointDoubt> = persistentListOf(),
+    public val abandonedRenewals: PersistentList<PendingRenewal> = persistentListOf(),
+    public val replyTimeout: Duration = REPLY_TIMEOUT,
+    public val incoming: IncomingCatalogue? = null,
 )
 
 /**
@@ -132,15 +146,22 @@
 
 private fun ControlSession.renew(now: Timestamp): SessionStep {
     if (leader !in linked) return unchanged()
-    val next = copy(
-        renewal = PendingRenewal(nextCorrelation, now),
+    val cursor = incoming?.cursor
+    val next = withoutRenewal().copy(
+        renewal = PendingRenewal(nextCorrelation, now, cursor),
         nextRenewal = now + RENEW_INTERVAL,
         nextCorrelation = nextCorrelation + 1,
     )
-    val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts)
+    val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts, cursor)
     return next.unchanged().emit(SendSession(leader, nextCorrelation, request))
 }
 
+/** Waits no longer for the reply to the pending renewal, if there is one, but still accepts it. */
+private fun ControlSession.withoutRenewal(): ControlSession {
+    val abandoned = renewal ?: return this
+    return copy(renewal = null, abandonedRenewals = (abandonedRenewals + abandoned).takeLast(MAX_ABANDONED_RENEWALS).toPersistentList())
+}
+
 /** The leader is told of a new doubt at once. */
 private fun ControlSession.onDoubtsChanged(input: DoubtsChanged, now: Timestamp): SessionStep {
     val isNew = input.doubts.any { it !in doubts }
@@ -149,7 +170,7 @@
 }
 
 private fun ControlSession.onTick(now: Timestamp): SessionStep {
-    val hasTimedOut = renewal?.let { now - it.sent > REPLY_TIMEOUT } ?: false
+    val hasTimedOut = renewal?.let { now - it.sent > replyTimeout } ?: false
     val switched = if (hasTimedOut || leader !in linked) switchLeader(leader, null, now) else unchanged()
     return switched
         .then { if (it.renewal == null && now >= it.nextRenewal) it.renew(now) else it.unchanged() }
@@ -208,9 +229,14 @@
  */
 private fun ControlSession.switchLeader(replica: VmName, newLeader: VmName?, now: Timestamp): SessionStep {
     if (replica != leader) return unchanged()
-    val next = newLeader?.takeIf { it in linked && it != replica } ?: nextLinkedOrNull() ?: return copy(renewal = null).unchanged()
+    val next = newLeader?.takeIf { it in linked && it != replica } ?: nextLinkedOrNull() ?: return withoutRenewal().unchanged()
     val isOther = next != leader
-    return copy(leader = next, renewal = null, nextRenewal = if (isOther) now else now + LEADER_RETRY_DELAY).unchanged()
+    return withoutRenewal()
+        .copy(
+            leader = next,
+            nextRenewal = if (isOther) now else now + LEADER_RETRY_DELAY,
+            replyTimeout = if (isOther) REPLY_TIMEOUT else replyTimeout,
+        ).unchanged()
 }
 
 private val LEADER_RETRY_DELAY = 50.milliseconds
@@ -254,25 +280,43 @@
 private fun ControlSession.renewIfDue(now: Timestamp): SessionStep =
     if (renewal == null && now >= nextRenewal) renew(now) else unchanged()
 
+/** Applies the reply to a renewal, which may have been sent again since. A reply with a part of the catalogue requests the next one. */
+private fun ControlSession.onRenewed(input: SessionMessageReceived, reply: RenewReply, now: Timestamp): SessionStep {
+    val answered = (abandonedRenewals + listOfNotNull(renewal)).find { it.correlation == input.correlation } ?: return unchanged()
+    if (reply.revision < view.catalogue.revision) return unchanged()
+    val next = withReplyTo(answered, input.replica, now)
+    val renewed = when {
+        !incoming.isFollowedBy(reply, answered.cursor) -> next.unchanged()
+        reply.next != null -> next.copy(incoming = incoming.withPage(reply)).renew(now)
+        else -> next.copy(incoming = null).serve(incoming.join(reply), answered, now)
+    }
+    val settled = reply.settledDoubts.toPersistentList()
+    val told = if (settled.isEmpty()) renewed else renewed.emit(DeliverSettledDoubts(settled))
+    return told.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }
+}
+
+/** The replica that replies leads. The timeout follows the time that its replies take, so that a slow link isn't filled with repeats. */
+private fun ControlSession.withReplyTo(answered: PendingRenewal, replica: VmName, now: Timestamp): ControlSession = copy(
+    leader = if (replica in linked) replica else leader,
+    renewal = renewal?.takeIf { it != answered },
+    abandonedRenewals = abandonedRenewals.removeAll { it.correlation <= answered.correlation },
+    replyTimeout = ((now - answered.sent) * 2).coerceIn(REPLY_TIMEOUT, MAX_REPLY_TIMEOUT),
+)
+
 /**
- * Applies the reply to a renewal. The lease counts from when the renewal was sent and is shortened by a margin, so that, without a
- * grace period, it ends here before it ends at the leader.
+ * Serves the catalogue to which [reply] leads. The lease counts from when the renewal was sent and is shortened by a margin, so that,
+ * without a grace period, it ends here before it ends at the leader.
  */
-private fun ControlSession.onRenewed(input: SessionMessageReceived, reply: RenewReply, now: Timestamp): SessionStep {
-    val pending = renewal ?: return unchanged()
-    if (pending.correlation != input.correlation || reply.revision < view.catalogue.revision) return unchanged()
-    val leaseEnd = pending.sent + reply.leaseMilliseconds.milliseconds - LEASE_MARGIN + settings.graceAfterLease
+private fun ControlSession.serve(reply: RenewReply, answered: PendingRenewal, now: Timestamp): SessionStep {
+    val leaseEnd = answered.sent + reply.leaseMilliseconds.milliseconds - LEASE_MARGIN + settings.graceAfterLease
     val isChanged = reply.revision > view.catalogue.revision
     val newView = ServingView(view.catalogue.advance(reply), maxOf(view.leaseEnd, leaseEnd))
-    val nextDue = if (isChanged) pending.sent else nextRenewal
+    val nextDue = if (isChanged) answered.sent else nextRenewal
     val fleetUpdate = if (reply.fleet != 0L && reply.fleet == fleet.number) now else lastFleetUpdate
-    val served = copy(view = newView, renewal = null, nextRenewal = nextDue, isLeaseLossReported = false, lastFleetUpdate = fleetUpdate)
+    val served = copy(view = newView, nextRenewal = nextDue, isLeaseLossReported = false, lastFleetUpdate = fleetUpdate)
         .unchanged()
         .emit(ServeView(newView))
-    val reported = if (isChanged) served.emit(RevisionInForce(reply.revision, reply.configuration)) else served
-    val settled = reply.settledDoubts.toPersistentList()
-    val told = if (settled.isEmpty()) reported else reported.emit(DeliverSettledDoubts(settled))
-    return told.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }
+    return if (isChanged) served.emit(RevisionInForce(reply.revision, reply.configuration)) else served
 }
 
 private fun ControlSession.withRouterCount(count: Int): SessionStep =
--- a/programs/src/test/kotlin/sniperoute/programs/BlockQuarantineTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/BlockQuarantineTest.kt
@@ -23,8 +23,8 @@
 import sniperoute.request.routing.message.*
 import sniperoute.router.toNotice
 import sniperoute.version.decision.advance
-import sniperoute.version.decision.changesSince
 import sniperoute.version.decision.emptyCatalogue
+import sniperoute.version.decision.pageSince
 import sniperoute.version.message.*
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -121,7 +121,7 @@
     }
 
     private fun publish() {
-        val changes = control.published.changesSince(0).changes
+        val changes = control.published.pageSince(0).changes
         val view = ServingView(
             emptyCatalogue().advance(RenewReply(1, 1, control.published.revision, 1, isWhole = true, changes = changes)),
             now + 1.hours,
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -15,9 +15,17 @@
 @Serializable
 public sealed interface SessionMessage
 
+/**
+ * A position in the changes of the catalogue, which are ordered by revision and then by name: after the change of [name] in [revision], or
+ * after all changes of the revision if that is `null`. Items that were removed up to the revision [base] are not among the changes.
+ */
+@Serializable
+public data class CatalogueCursor(public val base: Long, public val revision: Long, public val name: ItemName? = null)
+
 /**
  * Requests a new lease. The router serves by [revision] and by the fleet view numbered [fleet] now; its [evidence] counts from its
- * start. It sends this at [sentMicroseconds] by its own clock, and has these [doubts] about endpoints.
+ * start. It sends this at [sentMicroseconds] by its own clock, and has these [doubts] about endpoints. The [cursor] is the end of the last
+ * page of changes that it has received, if more pages are to follow.
  */
 @Serializable
 public data class RenewRequest(
@@ -26,13 +34,15 @@
     public val fleet: Long = 0,
     public val sentMicroseconds: Long = 0,
     public val doubts: SerializableList<EndpointDoubt> = persistentListOf(),
+    public val cursor: CatalogueCursor? = null,
 ) : SessionMessage
 
 /**
- * Grants a lease of [leaseMilliseconds], counted from when the request was sent. The [changes] lead to [revision]; when [isWhole],
- * they replace everything that the router has. [members] are the VMs of the control replicas, [routers] is the number of routers that
- * share the allowances of the fleet, and [fleet] the number of the leader's fleet view, 0 while it has none. The router's
- * [settledDoubts] are over.
+ * Grants a lease of [leaseMilliseconds], counted from when the request was sent, to a router that has the catalogue of [revision]. The
+ * [changes] that lead there come in pages, each of which the router requests: this one follows the cursor [continues], or what the router
+ * serves if that is `null`, and ends at [next], which is `null` on the last page. When [isWhole], the changes of all pages replace
+ * everything that the router has. [members] are the VMs of the control replicas, [routers] is the number of routers that share the
+ * allowances of the fleet, and [fleet] the number of the leader's fleet view, 0 while it has none. The router's [settledDoubts] are over.
  */
 @Serializable
 public data class RenewReply(
@@ -46,6 +56,8 @@
     public val routers: Int = 1,
     public val fleet: Long = 0,
     public val settledDoubts: SerializableList<EndpointDoubt> = persistentListOf(),
+    public val continues: CatalogueCursor? = null,
+    public val next: CatalogueCursor? = null,
 ) : SessionMessage
 
 /** Stands for the incarnation of a store that does not respond. */
--- a/version/src/test/kotlin/sniperoute/version/ConfigurationsTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/ConfigurationsTest.kt
@@ -84,7 +84,7 @@
     }
 
     private fun Catalogue.follow(published: PublishedItems): Catalogue {
-        val since = published.changesSince(revision)
+        val since = published.pageSince(revision)
         return advance(RenewReply(1, 1, published.revision, 0, since.isWhole, since.changes))
     }
 
