Wait for replies of the ledger as long as replies take

A leader or a link whose replies always take longer answered none of them; a call that may run only once was refused after 3 s, and its release was repeated without end.

Replies that always take longer than that are still lost.

ControlSessionTest, replies after 0.55 s: LedgerUnavailable before.

--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -342,7 +342,7 @@
 private fun ControlSession.retryOrExpire(id: LedgerRequestId, pending: PendingLedgerRequest, now: Timestamp): SessionStep = when {
     !pending.retryUntilAnswered && now - pending.issued > LEDGER_TIMEOUT ->
         copy(ledgerRequests = ledgerRequests.remove(id)).unchanged().emit(DeliverLedgerReply(id, LedgerUnavailable))
-    now - pending.sent > REPLY_TIMEOUT -> {
+    now - pending.sent > replyTimeout -> {
         val resent = pending.copy(sent = now, correlation = nextCorrelation)
         copy(ledgerRequests = ledgerRequests.put(id, resent), nextCorrelation = nextCorrelation + 1)
             .unchanged()
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -27,7 +27,9 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private class SessionDriver {
     val replicas = persistentListOf(VmName("c1"), VmName("c2"), VmName("c3"))
@@ -119,6 +121,47 @@
         expectThat(effects.renewal().message).isEqualTo(RenewRequest(1, persistentListOf(), sentMicroseconds = driver.now.microseconds))
     }
 
+    /** Plays [time] with a leader whose replies take [replyTime]; [onStep] gets the effects of each step. */
+    private fun SessionDriver.playSlowLeader(replyTime: Duration, time: Duration, onStep: (List<SessionEffect>) -> Unit) {
+        val end = now + time
+        var replies = emptyList<Pair<Timestamp, SessionInput>>()
+
+        fun send(effects: List<SessionEffect>) {
+            onStep(effects)
+            replies = replies + effects.filterIsInstance<SendSession>().map {
+                val reply = RenewReply(1, LEASE_DURATION.inWholeMilliseconds, 1, 1, false, persistentListOf())
+                val isLeader = it.replica == replicas.first()
+                now + (if (isLeader) replyTime else 1.milliseconds) to
+                    SessionMessageReceived(it.replica, it.correlation, if (isLeader) reply else NotLeader(replicas.first()))
+            } + effects.filterIsInstance<SendLedger>().map {
+                val isLeader = it.replica == replicas.first()
+                now + (if (isLeader) replyTime else 1.milliseconds) to
+                    LedgerReplyReceived(it.replica, it.correlation, if (isLeader) CallAcknowledged else LedgerUnavailable)
+            }
+        }
+        send(link() + input(ledgerRequest))
+        while (now < end) {
+            send(advance(50))
+            val (due, later) = replies.partition { it.first <= now }
+            replies = later
+            due.forEach { send(input(it.second)) }
+        }
+    }
+
+    @Test
+    fun `replies that always take longer than the first timeout renew the lease and answer ledger requests`() {
+        val driver = SessionDriver()
+        val delivered = mutableListOf<DeliverLedgerReply>()
+        val unready = mutableListOf<Timestamp>()
+        val start = driver.now
+        driver.playSlowLeader(replyTime = 550.milliseconds, time = 20.seconds) { effects ->
+            delivered += effects.filterIsInstance<DeliverLedgerReply>()
+            if (driver.now > start + 1.seconds && !driver.session.view.isReady(driver.now)) unready += driver.now
+        }
+        expectThat(unready).describedAs("times without a lease").isEmpty()
+        expectThat(delivered.map { it.reply }).isEqualTo(listOf(CallAcknowledged))
+    }
+
     @Test
     fun `a ledger request that must be answered is retried until then, another one until its timeout`() {
         val driver = SessionDriver()
