End every run by its deadline, also without its caller

Cause: a call that may run only once goes on when its caller leaves. The end at the deadline returned at once for it, and a connection that opens after the deadline is closed without an event, so nothing was left to end the run. Its slot stayed taken, for all routers.

Change: the deadline ends every run, whoever has left, and a call without its caller has until then on each interface. A run whose attempt was dropped before it was sent ends by itself, as not run.

--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -143,7 +143,7 @@
         )
         if (isCallerDisconnected) return
         keep(EventKind.REQUEST_ADMITTED, ::describeRequest)
-        context.answerDeadline?.let { cancelTimer = exchange.after(it - dependencies.clock(), ::onDeadline) }
+        context.answerDeadline?.let(::endAtDeadline)
         val key = context.ledgerKey
         if (key == null) route() else dependencies.requestLedger(BeginCall(key, context.owner, admitted.digest), false, ::onLedgerReply)
     }
@@ -262,9 +262,18 @@
     }
 
     private fun mayStillSend(dispatch: Dispatch): Boolean {
-        val isWanted = isWanted && currentDispatch === dispatch
-        if (!isWanted) recordUnwanted(dispatch, UnwantedStage.CONNECTING)
-        return isWanted
+        val isCurrent = currentDispatch === dispatch
+        if (isWanted && isCurrent) return true
+        recordUnwanted(dispatch, UnwantedStage.CONNECTING)
+        if (isCurrent) endUnsent()
+        return false
+    }
+
+    /** Ends a run whose deadline passed before the attempt was sent. No event of its call would end it. */
+    private fun endUnsent() {
+        currentDispatch = null
+        call = null
+        exchange.after(Duration.ZERO, ::onDeadline)
     }
 
     private fun onCallEvent(dispatch: Dispatch, event: CallEvent) = exchange.onConnectionThread {
@@ -443,7 +452,7 @@
     private fun onDeadline() = endEarly(RefusalKind.DEADLINE, "the deadline passed")
 
     private fun endEarly(notRun: RefusalKind, reason: String) {
-        if (hasEnded || isCallerDisconnected) return
+        if (hasEnded || isCancelled) return
         isCancelled = true
         val wasDispatched = currentDispatch != null
         call?.cancel()
@@ -466,19 +475,31 @@
 
     private fun sendRefusal(kind: RefusalKind, message: String, outcome: Outcome, retryAfter: Duration? = null) {
         val response = context.protocol.refusalResponse(Refusal(kind, message, outcome, retryAfter), admitted.id)
-        exchange.respond(response.head, response.content)
+        if (!isCallerDisconnected) exchange.respond(response.head, response.content)
         record(EventKind.REQUEST_REFUSED, outcome, "${kind.text}: $message")
         end(outcome)
     }
 
     /**
-     * A once-only call that was sent to an endpoint continues without its caller, so that its outcome is known. Streams and all other
-     * requests are cancelled.
+     * A once-only call that was sent to an endpoint continues without its caller until its deadline, so that its outcome is known. Streams
+     * and all other requests are cancelled.
      */
     private fun onCallerDisconnected() {
         isCallerDisconnected = true
         val continues = admitted.route.repetition == Repetition.ONCE_ONLY && !context.wantsStream && currentDispatch != null
-        if (hasEnded || continues) return
+        when {
+            hasEnded || isCancelled -> return
+            continues -> endAtDeadline(admitted.deadline)
+            else -> cancelWithoutCaller()
+        }
+    }
+
+    private fun endAtDeadline(deadline: Timestamp) {
+        cancelTimer()
+        cancelTimer = exchange.after(deadline - dependencies.clock(), ::onDeadline)
+    }
+
+    private fun cancelWithoutCaller() {
         isCancelled = true
         call?.cancel()
         currentDispatch = null
