Refuse statuses of endpoints that HTTP does not have

Netty's decoder takes any number, and nothing after it checked the range.

A status that is not three digits from 100 to 599 makes the response malformed, and its connection is closed.

--- a/connection/src/main/kotlin/sniperoute/connection/endpoint/ResponseDecoders.kt
+++ b/connection/src/main/kotlin/sniperoute/connection/endpoint/ResponseDecoders.kt
@@ -22,6 +22,14 @@
         onSurplusBytes()
     }
 
+    /** Netty takes any number for a status, so that one that HTTP doesn't have would be passed on to callers. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(statusPattern.matches(initialLine[1])) { "the status is ${initialLine[1]}, not a number from 100 to 599" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         expected() == ExpectedResponse.HEAD_ONLY || super.isContentAlwaysEmpty(message)
 }
+
+private val statusPattern = Regex("[1-5][0-9]{2}")
