--- a/programs/src/test/kotlin/sniperoute/programs/SlowLinksTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/SlowLinksTest.kt
@@ -55,9 +55,10 @@
         queue = queue.add(freeAt + DELAY to message)
     }
 
-    fun arrivedBy(now: Timestamp): List<T> = queue.filter { it.first <= now }.map { it.second }.also {
-        queue =
-            queue.subList(it.size, queue.size).toPersistentList()
+    fun arrivedBy(now: Timestamp): List<T> {
+        val (arrived, later) = queue.partition { it.first <= now }
+        queue = later.toPersistentList()
+        return arrived.map { it.second }
     }
 }
 
--- a/request/src/test/kotlin/sniperoute/request/CallerlessRunsTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/CallerlessRunsTest.kt
@@ -162,6 +162,8 @@
 
     fun tick() = perform(routing.input(null))
 
+    fun breakSentCall() = calls.lastOrNull()?.takeIf { it.isSent }?.end(CallFailed(CallFailure.BROKEN, "broken"))
+
     /** What is still under way ends as calls do: those that were sent by their idle timeout, others with their connection. */
     fun endCalls() = calls.toList().forEach { call ->
         call.open()
@@ -232,13 +234,7 @@
                         4 -> played.calls.lastOrNull()?.let { call ->
                             if (call.isSent) call.end(CallStalled("stalled")) else call.end(CallFailed(CallFailure.NOT_SENT, "refused"))
                         }
-                        5 -> played.calls.lastOrNull()?.let {
-                            if (it.isSent &&
-                                random.nextInt(3) == 0
-                            ) {
-                                it.end(CallFailed(CallFailure.BROKEN, "broken"))
-                            }
-                        }
+                        5 -> if (random.nextInt(3) == 0) played.breakSentCall()
                         6 -> played.tick()
                         else -> played.wake()
                     }
--- a/version/src/test/kotlin/sniperoute/version/ChangePagesTest.kt
+++ b/version/src/test/kotlin/sniperoute/version/ChangePagesTest.kt
@@ -31,9 +31,11 @@
         return RenewReply(1, 1, revision, 0, page.isWhole, page.changes, continues = page.continues, next = page.next)
     }
 
-    /** Forgets the removals up to [compacted], as a long history of them does. */
-    private fun PublishedItems.forget(compacted: Long): PublishedItems =
-        copy(forgotten = compacted, changes = changes.filterValues { it.item != null || it.revision > compacted }.toPersistentMap())
+    /** Forgets the removals up to some revision, as a long history of them does. */
+    private fun PublishedItems.forgetAny(random: Random): PublishedItems {
+        val compacted = random.nextLong(forgotten, revision + 1)
+        return copy(forgotten = compacted, changes = changes.filterValues { it.item != null || it.revision > compacted }.toPersistentMap())
+    }
 
     private fun PublishedItems.workspaces(): Set<Workspace> =
         changes.values.mapNotNull { (it.item as? WorkspaceItem)?.workspace }.toSet()
@@ -66,11 +68,7 @@
                 repeat(120) {
                     when (random.nextInt(8)) {
                         in 0..3 -> published = published.changeAny(random)
-                        4 -> if (random.nextInt(4) ==
-                            0
-                        ) {
-                            published = published.forget(random.nextLong(published.forgotten, published.revision + 1))
-                        }
+                        4 -> if (random.nextInt(4) == 0) published = published.forgetAny(random)
                         else -> receivePage()
                     }
                     inForce[published.revision] = published.workspaces()
