--- a/request/src/test/kotlin/sniperoute/request/CallerlessRunsTest.kt
+++ b/request/src/test/kotlin/sniperoute/request/CallerlessRunsTest.kt
@@ -1,6 +1,6 @@
 /**
- * Calls that may run only once, with callers that leave, connections that open late and a router that stands still. Guards against runs that
- * never end: their slots stay taken for all routers, until the service is refused for good.
+ * Calls that may run only once, with callers that leave, connections that open late and a router that stands still. Guards against runs
+ * that never end: their slots stay taken for all routers, until the service is refused for good.
  */
 package sniperoute.request
 
