Keep the cached blocks of a workspace out of reach once it is isolated

What callers saw: nothing.

Cause: the salt followed from the configuration in force alone, 0 for all who aren't isolated. Cached blocks outlast configurations.

Change: the control replicas record which workspaces share which cache group (by model and first block of the prompt), and give a group a new generation when one of its sharers becomes isolated. A workspace shares a group only by a catalogue that records it; until then it has its own blocks and waits for nothing. Each attempt asks whether its salt is still in force. Why it holds: a record is removed only together with a new generation of its groups, so whoever made a block of a generation in force is recorded.

--- a/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
+++ b/process/src/main/kotlin/sniperoute/process/timeline/message/Events.kt
@@ -52,6 +52,7 @@
     CONFIGURATION_REFUSED(501, Severity.WARNING),
     CONFIGURATION_IN_FORCE(502, Severity.INFORMATION),
     CONFIGURATION_IN_FORCE_EVERYWHERE(503, Severity.INFORMATION),
+    CACHE_SEPARATED(504, Severity.INFORMATION),
     KEY_GRANTED(510, Severity.INFORMATION),
     KEY_WITHDRAWN(511, Severity.INFORMATION),
     LEASE_RENEWED(520, Severity.DEBUG),
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -31,6 +31,7 @@
 import sniperoute.version.decision.noWarmingEndpoints
 import sniperoute.version.decision.noWeightLoads
 import sniperoute.version.decision.with
+import sniperoute.version.message.CacheUse
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.ModelName
 import sniperoute.version.message.ModelWeights
@@ -68,7 +69,7 @@
 /** A proposal for the token requests [requests], in the order in which the command lists them. */
 public data class TokenProposal(public val requests: PersistentList<PendingTokenRequest>) : PendingProposal
 
-/** A proposal of the leader itself, to advance a move: its result goes to nobody. */
+/** A proposal of the leader itself: its result goes to nobody. */
 public data object LeaderProposal : PendingProposal
 
 /** A router's request for [tokens] of [workspace]. */
@@ -94,7 +95,7 @@
  * tick. [servedWeights] holds the last weights read from each endpoint, [lastReportedRevision] the newest revision that was recorded as
  * in force everywhere, [lastListRead] the time at which the platform's list was last read in full, [storeIncarnations] the incarnation
  * of each cache store, or that it is unreachable, [lateness] how many first tokens of each service come late, and [strained] the services
- * for which that is too many.
+ * for which that is too many. The [cacheUses] are to be recorded, with the next proposal no earlier than [nextCacheUseProposal].
  */
 public data class LeaderState(
     public val term: Long,
@@ -124,6 +125,8 @@
     public val lateness: PersistentMap<ServiceName, Lateness> = persistentMapOf(),
     public val strained: PersistentSet<ServiceName> = persistentSetOf(),
     public val warming: WarmingEndpoints,
+    public val cacheUses: PersistentSet<CacheUse> = persistentSetOf(),
+    public val nextCacheUseProposal: Timestamp = Timestamp.EARLIEST,
 )
 
 /**
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlStates.kt
@@ -77,7 +77,7 @@
 /**
  * The [state] after a command, its [result], and the digests of requests that it put in quarantine. [quarantinedBlocks] and
  * [releasedBlocks] are the sets of prompt blocks whose quarantine began or ended. [hasChangedEvacuation] is `true` if it started or ended
- * an evacuation.
+ * an evacuation, and the [separated] workspaces no longer share cached blocks.
  */
 public data class AppliedCommand(
     public val state: ControlState,
@@ -86,6 +86,7 @@
     public val quarantinedBlocks: List<ItemName> = persistentListOf(),
     public val releasedBlocks: List<ItemName> = persistentListOf(),
     public val hasChangedEvacuation: Boolean = false,
+    public val separated: List<CacheSharerItem> = persistentListOf(),
 )
 
 /** Returns the state after [command], which is the log entry [index]. All replicas must return the same state. */
@@ -101,6 +102,7 @@
     is RollBackMove -> applyRollBack(command, index)
     is SetTargetWeights -> applyTargetWeights(command)
     is SetEvacuation -> applyEvacuation(command)
+    is RecordCacheUses -> applyCacheUses(command)
 }
 
 internal fun ControlState.applied(): AppliedCommand = AppliedCommand(this, CommandApplied(published.revision))
@@ -111,12 +113,15 @@
     val submission = Submission(command.follows, command.digest, command.operator, command.declarations, command.numbering)
     val outcome = configurations.evaluate(submission)
     if (outcome !is SubmissionAccepted) return AppliedCommand(this, SubmissionResult(outcome, published.revision))
-    val next = publishDeclarations(command.declarations, command, index)
+    val separation = separateCaches(command.declarations.workspaces)
+    val next = publishDeclarations(command, separation, index)
     val accepted = next.copy(configurations = configurations.accept(submission, next.published.revision))
-    return AppliedCommand(accepted, SubmissionResult(outcome, next.published.revision))
+    return AppliedCommand(accepted, SubmissionResult(outcome, next.published.revision), separated = separation.separated)
 }
 
-private fun ControlState.publishDeclarations(declarations: Declarations, command: SubmitConfiguration, index: Long): ControlState {
+/** Publishes the [separation] together with the declarations, so that no router has one without the other. */
+private fun ControlState.publishDeclarations(command: SubmitConfiguration, separation: CacheSeparation, index: Long): ControlState {
+    val declarations = command.declarations
     val items = declarations.copy(keys = keys.effective(declarations.keys).toPersistentList()).toItems()
     val moves = declarations.services.mapNotNull { moveItemOrNull(it, command, index) }
     val kept = (items + moves).map { it.name }.toSet()
@@ -124,13 +129,20 @@
         .filter { it.item != null && it.name.kind !in undeclaredKinds && it.name !in kept }
         .map { it.name }
     return copy(
-        published = published.publish(items + moves, gone),
+        published = published.publish(items + moves + listOfNotNull(separation.generations), gone + separation.removed),
         allowances = allowances.withLimits(declarations.workspaces),
     )
 }
 
 /** The kinds of items that commands publish and no declaration contains; a new configuration leaves them in place. */
-private val undeclaredKinds = setOf(ItemKind.QUARANTINE, ItemKind.BLOCK_QUARANTINE, ItemKind.MODEL_WEIGHTS, ItemKind.EVACUATION)
+private val undeclaredKinds = setOf(
+    ItemKind.QUARANTINE,
+    ItemKind.BLOCK_QUARANTINE,
+    ItemKind.MODEL_WEIGHTS,
+    ItemKind.EVACUATION,
+    ItemKind.CACHE_SHARER,
+    ItemKind.CACHE_GENERATIONS,
+)
 
 private fun ControlState.applyTargetWeights(command: SetTargetWeights): AppliedCommand {
     val current = targetWeights()[command.model]
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -120,7 +120,9 @@
     val answered = next
         .then { if (returned == null) it.unchanged() else it.withColdDomain(returned, now) }
         .then { it.completeProposal(entry.proposal, applied.result, now) }
-    return if (applied.state.published.revision > revisionBefore) answered.then { it.notifyRouters() } else answered
+    // Requests are served without their uses of the cache being recorded, so routers learn of those with their next renewals.
+    val isNoticed = applied.state.published.revision > revisionBefore && command !is RecordCacheUses
+    return if (isNoticed) answered.then { it.notifyRouters() } else answered
 }
 
 private fun ControlDutyState.notifyRouters(): ControlStep {
@@ -247,9 +249,10 @@
 ): ControlStep {
     val isNewRouter = leaderState?.leases?.routers?.containsKey(input.router) == false
     val table = evidenceTable(request.evidence)
-    val renewed = recordLateness(leaderState?.evidence?.get(input.router), table, now).updateLeader {
-        copy(leases = leases.renew(input.router, request.revision, now), evidence = evidence.put(input.router, table))
-    }
+    val renewed = recordLateness(leaderState?.evidence?.get(input.router), table, now)
+        .updateLeader {
+            copy(leases = leases.renew(input.router, request.revision, now), evidence = evidence.put(input.router, table))
+        }.collectCacheUses(request.cacheUses)
     val (doubted, settled) = renewed.recordDoubts(input.router, request, now)
     val published = replicatedState.published
     val page = published.pageSince(request.revision, request.cursor)
@@ -304,16 +307,24 @@
         .then { it.broadcastWorkloads(now) }
         .then { it.checkDoubted(now) }
         .then { it.grantRequestPermits(now) }
+        .then { it.proposeCacheUses(now) }
 }
 
 private fun ControlDutyState.recordEvents(command: Command, applied: AppliedCommand): ControlStep {
     val events = listOfNotNull(eventOrNull(command, applied)) +
         applied.quarantined.map { RecordTimelineEvent(EventKind.DIGEST_QUARANTINED, EventSubject(), "digest $it") } +
         applied.quarantinedBlocks.map { RecordTimelineEvent(EventKind.BLOCKS_QUARANTINED, EventSubject(), "blocks ${it.text}") } +
-        applied.releasedBlocks.map { RecordTimelineEvent(EventKind.BLOCKS_RELEASED, EventSubject(), "blocks ${it.text}") }
+        applied.releasedBlocks.map { RecordTimelineEvent(EventKind.BLOCKS_RELEASED, EventSubject(), "blocks ${it.text}") } +
+        applied.separated.map(::separationEvent)
     return events.fold(unchanged()) { step, effect -> step.emit(effect) }
 }
 
+private fun separationEvent(sharer: CacheSharerItem): RecordTimelineEvent = RecordTimelineEvent(
+    EventKind.CACHE_SEPARATED,
+    EventSubject(workspace = sharer.workspace.text),
+    "${sharer.groups.size} cache groups have a new generation",
+)
+
 private fun eventOrNull(command: Command, applied: AppliedCommand): RecordTimelineEvent? = when (command) {
     is SubmitConfiguration -> submissionEvent(command, applied)
     is GrantKey -> RecordTimelineEvent(
--- a/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/message/Commands.kt
@@ -11,6 +11,7 @@
 import sniperoute.process.identity.FailureDomain
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.version.decision.Numbering
+import sniperoute.version.message.CacheUse
 import sniperoute.version.message.Declarations
 import sniperoute.version.message.KeyDigest
 import sniperoute.version.message.ModelName
@@ -112,6 +113,10 @@
 @SerialName("sniperoute.control.message.TakeBackMove")
 public data class RollBackMove(override val at: Timestamp, public val service: ServiceName, public val operator: String) : Command
 
+/** Records that blocks of the [uses] may be cached where other workspaces reach them. */
+@Serializable
+public data class RecordCacheUses(override val at: Timestamp, public val uses: SerializableList<CacheUse>) : Command
+
 /**
  * Starts the evacuation of [domain] if [isEvacuated], and ends it otherwise. The last command for a failure domain in the log decides; one
  * that asks for what already is the case changes nothing.
--- a/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
@@ -16,12 +16,14 @@
 import sniperoute.request.run.RequestRun
 import sniperoute.request.run.RequestRunDependencies
 import sniperoute.version.codec.keyDigestOf
+import sniperoute.version.message.CacheUse
 import sniperoute.version.message.KeyDigest
 import kotlin.time.Duration
 
 /**
  * A request that was received at [now] over [exchange], with what its run needs: the [view] by which it is served, and the [owner] of
- * the calls that it begins in the once-only ledger. The duties of this router will work on it after the [delay].
+ * the calls that it begins in the once-only ledger. The duties of this router will work on it after the [delay]. The [currentView] is the
+ * newest one at any later time, and [reportCacheUse] has a use of shared cached blocks recorded.
  */
 public class IncomingRequest(
     public val exchange: Exchange,
@@ -30,7 +32,9 @@
     public val owner: LedgerOwner,
     public val dependencies: RequestRunDependencies,
     public val now: Timestamp,
-    public val delay: Duration = Duration.ZERO,
+    public val delay: Duration,
+    public val currentView: () -> ServingView,
+    public val reportCacheUse: (CacheUse) -> Unit,
 ) {
     /** The head of the request. */
     public val head: RequestHead get() = exchange.head
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -78,6 +78,7 @@
 import sniperoute.request.run.message.FrontEndProtocol
 import sniperoute.router.decision.SessionSettings
 import sniperoute.router.decision.newControlSession
+import sniperoute.router.message.CacheUseReported
 import sniperoute.router.message.SessionInput
 import sniperoute.version.decision.Catalogue
 import sniperoute.version.decision.emptyCatalogue
@@ -304,6 +305,8 @@
                 dependencies = dependencies,
                 now = clock(),
                 delay = lateness.delayOf(exchange),
+                currentView = session.view::get,
+                reportCacheUse = { sessionRing.offer(CacheUseReported(it)) },
             )
         val run = front.createRun(incoming).flatMap { if (isTaken(it, incoming.now)) it.right() else drainingRefusal.left() }
         run.fold(
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -28,6 +28,7 @@
 import sniperoute.version.decision.emptyCatalogue
 import sniperoute.version.decision.emptyFleetView
 import sniperoute.version.decision.isFollowedBy
+import sniperoute.version.decision.isUnrecorded
 import sniperoute.version.decision.join
 import sniperoute.version.decision.withPage
 import sniperoute.version.message.*
@@ -62,6 +63,8 @@
  *
  * A renewal without a reply within [replyTimeout] is sent again. The earlier one is among the [abandonedRenewals]: a reply that
  * took longer still renews the lease and brings a part of the [incoming] catalogue.
+ *
+ * The [cacheUses] are repeated with each renewal until the catalogue records them, since the leader may lose them.
  */
 public data class ControlSession(
     public val replicas: PersistentList<VmName>,
@@ -84,6 +87,7 @@
     public val abandonedRenewals: PersistentList<PendingRenewal> = persistentListOf(),
     public val replyTimeout: Duration = REPLY_TIMEOUT,
     public val incoming: IncomingCatalogue? = null,
+    public val cacheUses: PersistentSet<CacheUse> = persistentSetOf(),
 )
 
 /**
@@ -138,6 +142,7 @@
     is LedgerRequestIssued -> onLedgerRequest(input, now)
     is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
     is DoubtsChanged -> onDoubtsChanged(input, now)
+    is CacheUseReported -> onCacheUse(input.use, now).unchanged()
     is ListRead -> onListRead(input)
 }
 
@@ -152,7 +157,8 @@
         nextRenewal = now + RENEW_INTERVAL,
         nextCorrelation = nextCorrelation + 1,
     )
-    val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts, cursor)
+    val uses = cacheUses.take(MAX_SENT_CACHE_USES).toPersistentList()
+    val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts, cursor, uses)
     return next.unchanged().emit(SendSession(leader, nextCorrelation, request))
 }
 
@@ -169,6 +175,20 @@
     return if (isNew) next.renewIfDue(now) else next.unchanged()
 }
 
+/** Bounds what a router holds and sends, whatever its callers ask for. What is left out comes again with later requests. */
+private const val MAX_CACHE_USES = 4_096
+private const val MAX_SENT_CACHE_USES = 1_024
+
+/** Collects the new uses of busy callers for one renewal. */
+private val CACHE_USE_DELAY = 200.milliseconds
+
+private fun ControlSession.onCacheUse(use: CacheUse, now: Timestamp): ControlSession =
+    if (use in cacheUses || cacheUses.size >= MAX_CACHE_USES || !view.catalogue.isUnrecorded(use)) {
+        this
+    } else {
+        copy(cacheUses = cacheUses.add(use), nextRenewal = minOf(nextRenewal, now + CACHE_USE_DELAY))
+    }
+
 private fun ControlSession.onTick(now: Timestamp): SessionStep {
     val hasTimedOut = renewal?.let { now - it.sent > replyTimeout } ?: false
     val switched = if (hasTimedOut || leader !in linked) switchLeader(leader, null, now) else unchanged()
@@ -313,9 +333,13 @@
     val newView = ServingView(view.catalogue.advance(reply), maxOf(view.leaseEnd, leaseEnd))
     val nextDue = if (isChanged) answered.sent else nextRenewal
     val fleetUpdate = if (reply.fleet != 0L && reply.fleet == fleet.number) now else lastFleetUpdate
-    val served = copy(view = newView, nextRenewal = nextDue, isLeaseLossReported = false, lastFleetUpdate = fleetUpdate)
-        .unchanged()
-        .emit(ServeView(newView))
+    val served = copy(
+        view = newView,
+        nextRenewal = nextDue,
+        isLeaseLossReported = false,
+        lastFleetUpdate = fleetUpdate,
+        cacheUses = if (isChanged) cacheUses.removeAll { !newView.catalogue.isUnrecorded(it) } else cacheUses,
+    ).unchanged().emit(ServeView(newView))
     return if (isChanged) served.emit(RevisionInForce(reply.revision, reply.configuration)) else served
 }
 
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -11,6 +11,7 @@
 import sniperoute.request.ledger.message.LedgerRequest
 import sniperoute.request.routing.message.TokensGranted
 import sniperoute.version.decision.FleetView
+import sniperoute.version.message.CacheUse
 import sniperoute.version.message.EndpointDoubt
 import sniperoute.version.message.FleetWorkload
 import sniperoute.version.message.ListedEndpoint
@@ -67,6 +68,9 @@
 /** The routing duty has these [doubts] now, and no others. */
 public data class DoubtsChanged(public val doubts: ImmutableList<EndpointDoubt>) : SessionInput
 
+/** A request was admitted whose [use] of shared cached blocks isn't recorded in the catalogue. */
+public data class CacheUseReported(public val use: CacheUse) : SessionInput
+
 /** This router read the platform's list; `null` when reading it failed. */
 public data class ListRead(public val listed: ImmutableList<ListedEndpoint>?) : SessionInput
 
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -4,6 +4,7 @@
 package sniperoute.programs
 
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.junit.jupiter.api.Test
 import sniperoute.process.clock.Timestamp
 import sniperoute.process.identity.Incarnation
@@ -45,14 +46,18 @@
 
     fun link() = replicas.flatMap { input(LinkOpened(it)) }
 
-    fun renew(sent: SendSession, revision: Long = 1, replica: VmName = sent.replica): List<SessionEffect> =
-        input(
-            SessionMessageReceived(
-                replica,
-                sent.correlation,
-                RenewReply(1, LEASE_DURATION.inWholeMilliseconds, revision, 1, false, persistentListOf()),
-            ),
-        )
+    fun renew(
+        sent: SendSession,
+        revision: Long = 1,
+        replica: VmName = sent.replica,
+        changes: List<ItemChange> = emptyList(),
+    ): List<SessionEffect> = input(
+        SessionMessageReceived(
+            replica,
+            sent.correlation,
+            RenewReply(1, LEASE_DURATION.inWholeMilliseconds, revision, 1, false, changes.toPersistentList()),
+        ),
+    )
 }
 
 private fun List<SessionEffect>.renewal(): SendSession = filterIsInstance<SendSession>().last { it.message is RenewRequest }
@@ -121,6 +126,24 @@
         expectThat(effects.renewal().message).isEqualTo(RenewRequest(1, persistentListOf(), sentMicroseconds = driver.now.microseconds))
     }
 
+    @Test
+    fun `uses of the cache are sent soon and with each renewal until they are recorded, and never more than a message carries`() {
+        val driver = SessionDriver()
+        val workspaces = listOf("t1", "t2").map { Workspace(WorkspaceName(it), 0, 0, isIsolated = it == "t2") }
+        val sent = driver.link().renewal()
+        driver.renew(sent, changes = workspaces.map { ItemChange(1, WorkspaceItem(it).name, WorkspaceItem(it)) })
+        driver.renew(driver.advance(100).renewal())
+        val uses = listOf("t1", "t2", "t3").map { CacheUse(WorkspaceName(it), CacheGroup(7)) }
+        uses.forEach { driver.input(CacheUseReported(it)) }
+        val renewals = listOf(250, 600).map { time -> driver.advance(time).renewal().also { driver.renew(it) } }
+        expectThat(renewals.map { (it.message as RenewRequest).cacheUses.toList() }).isEqualTo(List(2) { uses.take(1) })
+        val item = CacheSharerItem(uses[0].workspace, persistentListOf(uses[0].group))
+        driver.renew(driver.advance(600).renewal(), revision = 2, changes = listOf(ItemChange(2, item.name, item)))
+        expectThat((driver.advance(600).renewal().message as RenewRequest).cacheUses).isEmpty()
+        repeat(2_000) { driver.input(CacheUseReported(CacheUse(WorkspaceName("t1"), CacheGroup(it + 8)))) }
+        expectThat((driver.advance(600).renewal().message as RenewRequest).cacheUses.size).isEqualTo(1_024)
+    }
+
     /** Plays [time] with a leader whose replies take [replyTime]; [onStep] gets the effects of each step. */
     private fun SessionDriver.playSlowLeader(replyTime: Duration, time: Duration, onStep: (List<SessionEffect>) -> Unit) {
         val end = now + time
--- a/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/RequestRuns.kt
@@ -80,6 +80,8 @@
  *
  * @property ledgerKey identifies the call in the once-only ledger; `null` if the request does not use the ledger.
  * @property answerDeadline is the time at which the caller gets a response in any case; `null` if there is no such time.
+ * @property isCacheSaltInForce returns whether the caller may still reach the cached blocks under [cacheSalt]. It is asked before each
+ * attempt, since the request may have waited while the configuration changed.
  */
 public class RequestContext(
     public val responseParser: ResponseParser,
@@ -90,6 +92,7 @@
     public val owner: LedgerOwner,
     public val configuration: Long,
     public val answerDeadline: Timestamp? = null,
+    public val isCacheSaltInForce: () -> Boolean = { true },
 )
 
 /** An event at [at] that is recorded later or not at all. */
@@ -249,7 +252,7 @@
             method = exchange.head.method,
             target = if (exchange.head.query.isEmpty()) exchange.head.path else "${exchange.head.path}?${exchange.head.query}",
             headers = context.protocol.requestHeaders(
-                OutgoingRequest(exchange.head, admitted, this, assembly.lastId, context.cacheSalt, left),
+                OutgoingRequest(exchange.head, admitted, this, assembly.lastId, cacheSaltOrNull(), left),
             ),
             body = exchange.body,
             idleTimeout = left.coerceAtLeast(MIN_IDLE_TIMEOUT),
@@ -261,6 +264,8 @@
         )
     }
 
+    private fun cacheSaltOrNull(): Long? = context.cacheSalt.takeIf { context.isCacheSaltInForce() }
+
     private fun mayStillSend(dispatch: Dispatch): Boolean {
         val isCurrent = currentDispatch === dispatch
         if (isWanted && isCurrent) return true
--- a/request/src/main/kotlin/sniperoute/request/run/message/FrontEndProtocols.kt
+++ b/request/src/main/kotlin/sniperoute/request/run/message/FrontEndProtocols.kt
@@ -21,7 +21,7 @@
  * A request to be sent to an endpoint.
  *
  * @property lastEventId is the ID of the last event that was sent to the caller, from which a stream is resumed.
- * @property cacheSalt separates the cached blocks of workspaces.
+ * @property cacheSalt separates the cached blocks of workspaces; `null` if the request may use none but its own.
  * @property left is the time until the deadline.
  */
 public class OutgoingRequest(
@@ -29,7 +29,7 @@
     public val admitted: AdmittedRequest,
     public val dispatch: Dispatch,
     public val lastEventId: String?,
-    public val cacheSalt: Long,
+    public val cacheSalt: Long?,
     public val left: Duration,
 )
 
--- a/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/Catalogues.kt
@@ -19,7 +19,8 @@
 /**
  * What is in force at [revision]; [configuration] is the number of the last accepted configuration. [blockQuarantines] are sets of
  * prompt blocks, by the names of their items; a prompt with a whole set must not run. No new request goes to an endpoint in one of the
- * [evacuated] failure domains.
+ * [evacuated] failure domains. The [cacheSharers] share cached blocks in these groups, and [cacheGenerations] has the generation of the
+ * groups that aren't in their first one.
  */
 public data class Catalogue(
     public val revision: Long,
@@ -34,6 +35,8 @@
     public val weights: PersistentMap<ModelName, ModelWeights> = persistentMapOf(),
     public val blockQuarantines: PersistentMap<String, PersistentSet<BlockId>> = persistentMapOf(),
     public val evacuated: PersistentSet<FailureDomain> = persistentSetOf(),
+    public val cacheSharers: PersistentMap<WorkspaceName, PersistentSet<CacheGroup>> = persistentMapOf(),
+    public val cacheGenerations: PersistentMap<CacheGroup, Long> = persistentMapOf(),
 )
 
 /** Returns the catalogue in which nothing is in force. */
@@ -83,6 +86,8 @@
     is LimitsItem -> copy(limits = item.limits)
     is ModelWeightsItem -> copy(weights = weights.put(item.weights.model, item.weights))
     is EvacuationItem -> copy(evacuated = evacuated.add(item.domain))
+    is CacheSharerItem -> copy(cacheSharers = cacheSharers.put(item.workspace, item.groups.toPersistentSet()))
+    is CacheGenerationsItem -> copy(cacheGenerations = item.generations.toPersistentMap())
 }
 
 private fun Catalogue.remove(name: ItemName): Catalogue = when (name.kind) {
@@ -96,6 +101,8 @@
     ItemKind.LIMITS -> copy(limits = null)
     ItemKind.MODEL_WEIGHTS -> copy(weights = weights.remove(ModelName(name.text)))
     ItemKind.EVACUATION -> copy(evacuated = evacuated.remove(FailureDomain(name.text)))
+    ItemKind.CACHE_SHARER -> copy(cacheSharers = cacheSharers.remove(WorkspaceName(name.text)))
+    ItemKind.CACHE_GENERATIONS -> copy(cacheGenerations = persistentMapOf())
 }
 
 private fun Collection<Route>.longestPathFirst(): PersistentList<Route> =
--- a/version/src/main/kotlin/sniperoute/version/decision/PublishedItems.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/PublishedItems.kt
@@ -9,6 +9,8 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import sniperoute.version.message.BlockQuarantineItem
+import sniperoute.version.message.CacheGenerationsItem
+import sniperoute.version.message.CacheSharerItem
 import sniperoute.version.message.CatalogueCursor
 import sniperoute.version.message.CatalogueItem
 import sniperoute.version.message.ItemChange
@@ -121,6 +123,8 @@
 /** The field names and values of an entry of a list or a map in an item. */
 private const val ENTRY_BYTES = 160
 private const val BLOCK_BYTES = 32
+private const val GROUP_BYTES = 3
+private const val GENERATION_BYTES = 12
 
 /** About how long the change is when it is encoded. */
 private val ItemChange.estimatedBytes: Int
@@ -129,5 +133,7 @@
         is ServiceItem -> ENTRY_BYTES * current.service.endpoints.size
         is MoveItem -> ENTRY_BYTES * current.move.assigned.size
         is BlockQuarantineItem -> BLOCK_BYTES * current.blocks.size
+        is CacheSharerItem -> GROUP_BYTES * current.groups.size
+        is CacheGenerationsItem -> GENERATION_BYTES * current.generations.size
         else -> 0
     }
--- a/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
@@ -12,7 +12,20 @@
 import sniperoute.process.identity.FailureDomain
 
 /** The kind of an item. */
-public enum class ItemKind { WORKSPACE, KEY, SERVICE, ROUTE, MOVE, QUARANTINE, LIMITS, MODEL_WEIGHTS, BLOCK_QUARANTINE, EVACUATION }
+public enum class ItemKind {
+    WORKSPACE,
+    KEY,
+    SERVICE,
+    ROUTE,
+    MOVE,
+    QUARANTINE,
+    LIMITS,
+    MODEL_WEIGHTS,
+    BLOCK_QUARANTINE,
+    EVACUATION,
+    CACHE_SHARER,
+    CACHE_GENERATIONS,
+}
 
 /** The name of an item, unique within its kind. */
 @Serializable
@@ -90,6 +103,18 @@
     override val name: ItemName get() = ItemName(ItemKind.EVACUATION, domain.text)
 }
 
+/** The cache [groups] in whose generations in force blocks of [workspace] may be cached. */
+@Serializable
+public data class CacheSharerItem(public val workspace: WorkspaceName, public val groups: SerializableList<CacheGroup>) : CatalogueItem {
+    override val name: ItemName get() = ItemName(ItemKind.CACHE_SHARER, workspace.text)
+}
+
+/** The generation of each cache group that is not in its first one. */
+@Serializable
+public data class CacheGenerationsItem(public val generations: SerializableMap<CacheGroup, Long>) : CatalogueItem {
+    override val name: ItemName get() = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
+}
+
 /** The change of an item in [revision]; when [item] is `null`, the item was removed. */
 @Serializable
 public data class ItemChange(public val revision: Long, public val name: ItemName, public val item: CatalogueItem?)
--- a/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/SessionMessages.kt
@@ -25,7 +25,7 @@
 /**
  * Requests a new lease. The router serves by [revision] and by the fleet view numbered [fleet] now; its [evidence] counts from its
  * start. It sends this at [sentMicroseconds] by its own clock, and has these [doubts] about endpoints. The [cursor] is the end of the last
- * page of changes that it has received, if more pages are to follow.
+ * page of changes that it has received, if more pages are to follow. The [cacheUses] are not recorded in the catalogue that it serves by.
  */
 @Serializable
 public data class RenewRequest(
@@ -35,6 +35,7 @@
     public val sentMicroseconds: Long = 0,
     public val doubts: SerializableList<EndpointDoubt> = persistentListOf(),
     public val cursor: CatalogueCursor? = null,
+    public val cacheUses: SerializableList<CacheUse> = persistentListOf(),
 ) : SessionMessage
 
 /**
