Let no load command leave after the leader lease

Cause: a tick asks whether the lease holds; the end of a command, a report and the platform's list led to the same code without the question, until the replica stepped down. A command could also wait for its connection until the lease was over.

Change: the lease is asked for where commands are decided, whichever input led there, and again right before the first byte leaves, with 100 ms for the way. The next leader waits from its election, which can't come before the lease is over, so the two are leaseMs apart.

--- a/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/ControlDuties.kt
@@ -16,6 +16,7 @@
 import sniperoute.control.codec.weightsOrNull
 import sniperoute.control.decision.AgreementStatus
 import sniperoute.control.decision.ControlDutyState
+import sniperoute.control.decision.maySendLoadCommand
 import sniperoute.control.decision.step
 import sniperoute.control.message.*
 import sniperoute.process.agreement.decision.AgreementInput
@@ -86,7 +87,7 @@
     onFailure: OnDutyFailure,
 ): ControlDuty {
     val duty = ControlDuty(inbox, status, AtomicReference(initial))
-    val handlers = ControlEffectHandlers(duty, inbox, agreement, links, endpoints, recorder)
+    val handlers = ControlEffectHandlers(duty, inbox, agreement, links, endpoints, recorder, clock)
     duty.duty = startStateDuty(inbox, TICK, clock, onFailure, initial) { state, now, input ->
         val inputs = input?.decode() ?: sequenceOf<ControlInput?>(null)
         inputs.fold(state) { current, decoded ->
@@ -106,6 +107,7 @@
     private val links: ControlLinks,
     private val endpoints: EndpointGateway,
     private val recorder: EventRecorder,
+    private val clock: Clock,
 ) {
     fun perform(effect: ControlEffect) {
         when (effect) {
@@ -152,7 +154,7 @@
             is SendLoadCommand -> {
                 val subject = EventSubject(endpoint = name.text, weights = "${load.model} ${load.number}")
                 recorder.record(EventKind.LOAD_ORDERED, subject, "fence ${effect.fence}, after ${load.count} load commands")
-                endpoints.sendLoadCommand(load, effect.fence) { outcome, reason ->
+                endpoints.sendLoadCommand(load, effect.fence, { mayLeave(effect.fence) }) { outcome, reason ->
                     if (outcome != LoadCommandOutcome.TAKEN) {
                         recorder.record(EventKind.LOAD_ORDER_REFUSED, subject, "fence ${effect.fence}: $outcome, $reason")
                     }
@@ -162,6 +164,9 @@
         }
     }
 
+    /** Asked right before a command's first byte is written, since it may have waited for its connection. */
+    private fun mayLeave(term: Long): Boolean = duty.status.get().maySendLoadCommand(term, clock())
+
     private fun readWeights(effect: ReadWeights) {
         val request = weightsCall(effect.host, effect.port, "GET", ByteArray(0))
         endpoints.call(request, collectContent { body -> inbox.offer(WeightsRead(effect.endpoint, body?.let(::weightsOrNull))) })
@@ -170,7 +175,12 @@
     private fun loadWeights(effect: LoadWeights) {
         val subject = EventSubject(endpoint = effect.endpoint.text, weights = effect.weights.text)
         recorder.record(EventKind.LOAD_ORDERED, subject, "fence ${effect.fence}")
-        val request = weightsCall(effect.host, effect.port, "POST", loadCommandBody(effect.weights, effect.fence))
+        val term = duty.latestState
+            .get()
+            .leaderState
+            ?.term ?: return
+        val body = loadCommandBody(effect.weights, effect.fence)
+        val request = weightsCall(effect.host, effect.port, "POST", body) { mayLeave(term) }
         endpoints.call(
             request,
             collectContent { body ->
@@ -184,7 +194,7 @@
     }
 }
 
-private fun weightsCall(host: String, port: Int, method: String, body: ByteArray) = EndpointCall(
+private fun weightsCall(host: String, port: Int, method: String, body: ByteArray, isWanted: () -> Boolean = { true }) = EndpointCall(
     address = EndpointAddress(host, port),
     requestId = "control",
     method = method,
@@ -193,6 +203,7 @@
     body = body,
     idleTimeout = ENDPOINT_CALL_TIMEOUT,
     requiresNewConnection = true,
+    isWanted = isWanted,
 )
 
 /** Calls [onBody] once with the content of a response of status 200, or with `null` for any other end of the call. */
--- a/programs/control/src/main/kotlin/sniperoute/control/EndpointGateways.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/EndpointGateways.kt
@@ -18,8 +18,12 @@
 /** Receives the outcome of a load command and the reason for it. */
 public typealias OnLoadCommandOutcome = (outcome: LoadCommandOutcome, reason: String) -> Unit
 
-/** Sends a load command to a listed endpoint with the fencing token [fence]; [onOutcome] is called once. */
-public typealias SendListedLoadCommand = (command: SendLoadCommand, fence: Long, onOutcome: OnLoadCommandOutcome) -> Unit
+/**
+ * Sends a load command to a listed endpoint with the fencing token [fence]. It is dropped if [mayLeave] returns `false` right before its
+ * first byte is written; otherwise [onOutcome] is called once.
+ */
+public typealias SendListedLoadCommand =
+    (command: SendLoadCommand, fence: Long, mayLeave: () -> Boolean, onOutcome: OnLoadCommandOutcome) -> Unit
 
 /**
  * Reads the incarnation of a cache store; [onIncarnation] is called once, with `null` when the store doesn't
@@ -35,7 +39,7 @@
     public val call: CallEndpoint,
     public val list: ListEndpoints = noEndpointList,
     public val read: ReadEndpointReport = { _, onReport -> onReport(null) },
-    public val sendLoadCommand: SendListedLoadCommand = { _, _, onOutcome ->
+    public val sendLoadCommand: SendListedLoadCommand = { _, _, _, onOutcome ->
         onOutcome(LoadCommandOutcome.LOST, "this replica sends no load commands to listed endpoints")
     },
     public val readStore: ReadStoreIncarnation = { _, onIncarnation -> onIncarnation(null) },
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -39,6 +39,7 @@
 import sniperoute.version.message.WeightsVersion
 import sniperoute.version.message.WorkspaceName
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The status that the agreement duty publishes. [leaseEnd] is the end of the leader lease; it is `null` when this replica
@@ -222,7 +223,17 @@
  * Returns whether this replica leads at [now] with a valid leader lease and has applied all entries of earlier terms. Entries of its own
  * term need not be applied: only the leader acknowledges them, after it has applied them.
  */
-public fun ControlDutyState.isLeading(status: AgreementStatus, now: Timestamp): Boolean {
-    val leaseEnd = status.leaseEnd ?: return false
-    return leaderState != null && leaderState.term == status.term && now < leaseEnd && appliedIndex >= status.firstIndex
-}
+public fun ControlDutyState.isLeading(status: AgreementStatus, now: Timestamp): Boolean =
+    leaderState != null && status.holdsLease(leaderState.term, now) && appliedIndex >= status.firstIndex
+
+/** Returns whether this replica is the leader of [term] and its leader lease lasts beyond [now]. */
+private fun AgreementStatus.holdsLease(term: Long, now: Timestamp): Boolean = this.term == term && leaseEnd != null && now < leaseEnd
+
+/** A load command arrives within this time, unless its connection fails. */
+private val LOAD_COMMAND_TRANSIT = 100.milliseconds
+
+/**
+ * Returns whether the leader of [term] may send a load command at [now]. It arrives before the leader lease ends, and so before the next
+ * leader's grace period for load commands begins.
+ */
+public fun AgreementStatus.maySendLoadCommand(term: Long, now: Timestamp): Boolean = holdsLease(term, now + LOAD_COMMAND_TRANSIT)
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -43,11 +43,11 @@
     is RouterLinkClosed -> updateLeader { copy(links = links.remove(input.link)) }.unchanged()
     is OperatorCommandReceived -> onOperatorCommand(input, status, now)
     is WeightsRead -> onWeightsRead(input).unchanged()
-    is PlatformListRead -> onPlatformListRead(input, now)
+    is PlatformListRead -> onPlatformListRead(input, status, now)
     is StoreChecked -> onStoreChecked(input)
-    is EndpointReportRead -> reconcileLoads(now) { it.reportRead(input.endpoint, input.report, now) }
+    is EndpointReportRead -> reconcileLoads(status, now) { it.reportRead(input.endpoint, input.report, now) }
     is EndpointChecked -> onEndpointChecked(input, now)
-    is LoadCommandEnded -> reconcileLoads(now) { it.commandEnded(input.endpoint, input.number, input.outcome, now) }
+    is LoadCommandEnded -> reconcileLoads(status, now) { it.commandEnded(input.endpoint, input.number, input.outcome, now) }
 }
 
 /** Creates or drops the leader's state when leadership changes; routers and operators with a pending proposal then get a failure reply. */
@@ -303,7 +303,7 @@
     return proposeTokenChanges(now, isDue = now >= leader.nextFleetTimeAdvance)
         .then { it.recordIfInForceEverywhere(now) }
         .then { it.reconcileMoves(now) }
-        .then { it.reconcileFleet(now) }
+        .then { it.reconcileFleet(status, now) }
         .then { it.broadcastWorkloads(now) }
         .then { it.checkDoubted(now) }
         .then { it.grantRequestPermits(now) }
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -54,7 +54,7 @@
         .toPersistentList()
 
 /** Returns the state after what is due for listed services at [now]. */
-internal fun ControlDutyState.reconcileFleet(now: Timestamp): ControlStep {
+internal fun ControlDutyState.reconcileFleet(status: AgreementStatus, now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
     if (!settings.readsPlatformList) return unchanged()
     val current = withoutNeedlessGracePeriod(now)
@@ -63,7 +63,7 @@
     } else {
         current.updateLeader { copy(nextListRead = now + LIST_INTERVAL) }.unchanged().emit(ReadPlatformList)
     }
-    return listing.then { it.checkStores(now) }.then { it.reconcileLoads(now) { loads -> loads } }
+    return listing.then { it.checkStores(now) }.then { it.reconcileLoads(status, now) { loads -> loads } }
 }
 
 /** A store that stops responding is detected within two intervals. */
@@ -87,19 +87,31 @@
         .emit(RecordTimelineEvent(kind, EventSubject(endpoint = input.service.text), detail))
 }
 
-internal fun ControlDutyState.onPlatformListRead(input: PlatformListRead, now: Timestamp): ControlStep {
+internal fun ControlDutyState.onPlatformListRead(input: PlatformListRead, status: AgreementStatus, now: Timestamp): ControlStep {
     val listed = input.listed ?: return unchanged()
     val leader = leaderState ?: return unchanged()
     val fleet = leader.fleet ?: FleetView(firstFleetNumber(leader.term), persistentMapOf())
     val started = updateLeader { copy(fleet = fleet, lastListRead = now) }
-    return started.learnStarts(listed, now).then { state -> state.reconcileLoads(now) { it.withListing(listed) } }
+    return started.learnStarts(listed, now).then { state -> state.reconcileLoads(status, now) { it.withListing(listed) } }
 }
 
-/** Returns the state after [update] of the weight loads, with the reads and load commands that are due after it. */
-internal fun ControlDutyState.reconcileLoads(now: Timestamp, update: (WeightLoads) -> WeightLoads): ControlStep {
+/**
+ * Returns the state after [update] of the weight loads, with the reads and load commands that are due after it. Without the lease for
+ * them nothing is due: replies still come in once another replica may lead.
+ */
+internal fun ControlDutyState.reconcileLoads(
+    status: AgreementStatus,
+    now: Timestamp,
+    update: (WeightLoads) -> WeightLoads,
+): ControlStep {
     val leader = leaderState ?: return unchanged()
-    val maxOpen = maxOpenCommands(leader, now)
-    val step = update(leader.loads).reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, maxOpen)
+    val updated = update(leader.loads)
+    val mayCommand = isLeading(status, now) && status.maySendLoadCommand(leader.term, now)
+    val step = if (mayCommand) {
+        updated.reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, maxOpenCommands(leader, now))
+    } else {
+        LoadStep(updated, emptyList())
+    }
     val next = updateLeader { copy(loads = step.loads) }.unchanged()
     val emitted = step.effects.fold(next) { all, effect -> all.emit(PerformLoadEffect(effect, leader.term)) }
     return if (step.loads === leader.loads) emitted else emitted.then { it.publishFleet() }
--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -43,6 +43,9 @@
     var isLeader = true
     val openProposals = mutableListOf<ProposeCommand>()
     var firstIndex = 0L
+
+    /** The end of the leader lease, or `null` for one that is always renewed. */
+    var leaseEnd: Timestamp? = null
     private var commitIndex = 0L
 
     fun status() = AgreementStatus(
@@ -50,7 +53,7 @@
         term,
         isLeader,
         VmName("c1").takeIf { isLeader },
-        (now + 400.milliseconds).takeIf { isLeader },
+        (leaseEnd ?: (now + 400.milliseconds)).takeIf { isLeader },
         commitIndex,
         Membership(persistentListOf()),
         Redundancy.FULL,
