Have a first use of a cache group recorded before its request is served

Until its use of a group was recorded, a workspace computed blocks apart that were computed once more where they are shared.

Change: the router reports a new use at once, the leader commits the uses of 30 ms together and notifies the routers that wait; the request is created anew by the catalogue that records it. It waits 150 ms at most, and not without a leader.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
@@ -6,6 +6,8 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import sniperoute.control.message.LinkId
+import sniperoute.control.message.NotifyRouters
 import sniperoute.control.message.RecordCacheUses
 import sniperoute.process.clock.Timestamp
 import sniperoute.version.decision.itemOrNull
@@ -15,6 +17,7 @@
 import sniperoute.version.message.CacheGroup
 import sniperoute.version.message.CacheSharerItem
 import sniperoute.version.message.CacheUse
+import sniperoute.version.message.ChangeNotice
 import sniperoute.version.message.ItemKind
 import sniperoute.version.message.ItemName
 import sniperoute.version.message.Workspace
@@ -27,7 +30,7 @@
 private const val MAX_UNDECLARED_SHARERS = 1_000
 
 private const val MAX_CACHE_USES = 16_384
-private val CACHE_USE_INTERVAL: Duration = 250.milliseconds
+private val CACHE_USE_INTERVAL: Duration = 30.milliseconds
 
 private val generationsName = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
 
@@ -78,18 +81,28 @@
 private fun ControlState.sharedGroups(workspace: WorkspaceName): List<CacheGroup> =
     (published.itemOrNull(ItemName(ItemKind.CACHE_SHARER, workspace.text)) as CacheSharerItem?)?.groups.orEmpty()
 
-/** Collects the [uses] that a router reported. */
-internal fun ControlDutyState.collectCacheUses(uses: List<CacheUse>): ControlDutyState {
-    if (uses.isEmpty()) return this
+/** Collects the [uses] that the router at [link] reported, and has requests waiting for. */
+internal fun ControlDutyState.collectCacheUses(link: LinkId, uses: List<CacheUse>): ControlDutyState {
     val unrecorded = uses.filter(replicatedState::isUnrecorded)
-    return updateLeader { copy(cacheUses = cacheUses.addAll(unrecorded.take(MAX_CACHE_USES - cacheUses.size))) }
+    if (unrecorded.isEmpty()) return this
+    val collected = leaderState?.cacheUses ?: return this
+    val added = unrecorded.take(MAX_CACHE_USES - collected.uses.size)
+    return updateLeader { copy(cacheUses = CollectedCacheUses(collected.uses.addAll(added), collected.links.add(link))) }
 }
 
-/** Proposes one command for all uses that were collected since the last one. A router repeats those that get lost with a proposal. */
+/**
+ * Proposes one command for all uses that were collected since the last one, unless that one is still pending. A router repeats the uses
+ * that get lost with a proposal.
+ */
 internal fun ControlDutyState.proposeCacheUses(now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
-    if (leader.cacheUses.isEmpty() || now < leader.nextCacheUseProposal) return unchanged()
-    val unrecorded = leader.cacheUses.filter(replicatedState::isUnrecorded)
-    val next = updateLeader { copy(cacheUses = cacheUses.clear(), nextCacheUseProposal = now + CACHE_USE_INTERVAL) }
-    return if (unrecorded.isEmpty()) next.unchanged() else next.propose(RecordCacheUses(now, unrecorded.toPersistentList()), LeaderProposal)
+    if (leader.cacheUses.uses.isEmpty() || now < leader.nextCacheUseProposal) return unchanged()
+    val unrecorded = leader.cacheUses.uses.filter(replicatedState::isUnrecorded)
+    val next = updateLeader { copy(cacheUses = CollectedCacheUses(), nextCacheUseProposal = now + CACHE_USE_INTERVAL) }
+    if (unrecorded.isEmpty()) return next.unchanged()
+    return next.propose(RecordCacheUses(now, unrecorded.toPersistentList()), CacheUseProposal(leader.cacheUses.links))
 }
+
+/** Only the routers whose requests wait for the record learn of it at once; the others do so with their next renewals. */
+internal fun ControlDutyState.noticeRecordedCacheUses(proposal: CacheUseProposal): ControlStep =
+    unchanged().emit(NotifyRouters(proposal.links.toPersistentList(), ChangeNotice(replicatedState.published.revision)))
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -73,6 +73,15 @@
 /** A proposal of the leader itself: its result goes to nobody. */
 public data object LeaderProposal : PendingProposal
 
+/** A proposal to record uses of shared cached blocks, which the routers at [links] reported. */
+public data class CacheUseProposal(public val links: PersistentSet<LinkId>) : PendingProposal
+
+/** The [uses] of shared cached blocks that are to be recorded, which the routers at [links] reported. */
+public data class CollectedCacheUses(
+    public val uses: PersistentSet<CacheUse> = persistentSetOf(),
+    public val links: PersistentSet<LinkId> = persistentSetOf(),
+)
+
 /** A router's request for [tokens] of [workspace]. */
 public data class PendingTokenRequest(public val to: ReplyAddress, public val workspace: WorkspaceName, public val tokens: Long)
 
@@ -126,7 +135,7 @@
     public val lateness: PersistentMap<ServiceName, Lateness> = persistentMapOf(),
     public val strained: PersistentSet<ServiceName> = persistentSetOf(),
     public val warming: WarmingEndpoints,
-    public val cacheUses: PersistentSet<CacheUse> = persistentSetOf(),
+    public val cacheUses: CollectedCacheUses = CollectedCacheUses(),
     public val nextCacheUseProposal: Timestamp = Timestamp.EARLIEST,
 )
 
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlSteps.kt
@@ -81,7 +81,7 @@
     is OperatorProposal -> unchanged().emit(SendOperatorReply(proposal.requestId, null, leader, mayHaveRun))
     is TokenProposal ->
         proposal.requests.fold(unchanged()) { step, request -> step.emit(SendSessionReply(request.to, NotLeader(leader))) }
-    is LeaderProposal -> unchanged()
+    is CacheUseProposal, is LeaderProposal -> unchanged()
 }
 
 private fun ControlDutyState.onProposalRejected(input: ProposalRejected): ControlStep {
@@ -120,7 +120,7 @@
     val answered = next
         .then { if (returned == null) it.unchanged() else it.withColdDomain(returned, now) }
         .then { it.completeProposal(entry.proposal, applied.result, now) }
-    // Requests are served without their uses of the cache being recorded, so routers learn of those with their next renewals.
+    // The routers that wait for these records were notified when the proposal was completed.
     val isNoticed = applied.state.published.revision > revisionBefore && command !is RecordCacheUses
     return if (isNoticed) answered.then { it.notifyRouters() } else answered
 }
@@ -142,6 +142,7 @@
         is LedgerProposal -> next.replyToLedgerRequest(proposal, (result as LedgerResult).reply, now)
         is OperatorProposal -> next.unchanged().emit(SendOperatorReply(proposal.requestId, result, null))
         is TokenProposal -> next.replyToTokenRequests(proposal, (result as TokensResult).granted, now)
+        is CacheUseProposal -> next.noticeRecordedCacheUses(proposal)
         is LeaderProposal -> next.unchanged()
     }
 }
@@ -252,7 +253,7 @@
     val renewed = recordLateness(leaderState?.evidence?.get(input.router), table, now)
         .updateLeader {
             copy(leases = leases.renew(input.router, request.revision, now), evidence = evidence.put(input.router, table))
-        }.collectCacheUses(request.cacheUses)
+        }.collectCacheUses(input.from.link, request.cacheUses)
     val (doubted, settled) = renewed.recordDoubts(input.router, request, now)
     val published = replicatedState.published
     val page = published.pageSince(request.revision, request.cursor)
@@ -276,6 +277,7 @@
         .then { if (isNewRouter) it.sendRequestLimits(input.from) else it.unchanged() }
         .then { it.reportStrain(now) }
         .then { it.recordIfInForceEverywhere(now) }
+        .then { it.proposeCacheUses(now) }
 }
 
 /** Records once for each revision, in the time line, that the newest one is in force on every live router. */
--- a/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/CallerRequests.kt
@@ -90,8 +90,8 @@
         chain = if (isModel) prefixChain(salt, prompt.text) else persistentListOf(),
         promptTokens = (prompt.text.size / BYTES_PER_TOKEN).toLong() + 1,
         answerTokens = prompt.maxAnswerTokens,
-        arrived = incoming.now,
-        deadline = incoming.now + admission.route.deadlineMilliseconds.milliseconds,
+        arrived = incoming.arrived,
+        deadline = incoming.arrived + admission.route.deadlineMilliseconds.milliseconds,
         sharedBlocks = if (isModel) blockIds(prompt.text) else persistentListOf(),
     )
 }
--- a/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/IncomingRequests.kt
@@ -21,9 +21,10 @@
 import kotlin.time.Duration
 
 /**
- * A request that was received at [now] over [exchange], with what its run needs: the [view] by which it is served, and the [owner] of
- * the calls that it begins in the once-only ledger. The duties of this router will work on it after the [delay]. The [currentView] is the
- * newest one at any later time, and [reportCacheUse] has a use of shared cached blocks recorded.
+ * A request that was received over [exchange] at [arrived] and is admitted at [now], with what its run needs: the [view] by which it is
+ * served, and the [owner] of the calls that it begins in the once-only ledger. The duties of this router will work on it after the [delay].
+ * The [currentView] is the newest one at any later time, and [reportCacheUse] is called with a use of shared cached blocks that isn't
+ * recorded yet.
  */
 public class IncomingRequest(
     public val exchange: Exchange,
@@ -32,6 +33,7 @@
     public val owner: LedgerOwner,
     public val dependencies: RequestRunDependencies,
     public val now: Timestamp,
+    public val arrived: Timestamp,
     public val delay: Duration,
     public val currentView: () -> ServingView,
     public val reportCacheUse: (CacheUse) -> Unit,
--- a/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/Routers.kt
@@ -3,6 +3,7 @@
  */
 package sniperoute.router
 
+import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
@@ -78,10 +79,10 @@
 import sniperoute.request.run.message.FrontEndProtocol
 import sniperoute.router.decision.SessionSettings
 import sniperoute.router.decision.newControlSession
-import sniperoute.router.message.CacheUseReported
 import sniperoute.router.message.SessionInput
 import sniperoute.version.decision.Catalogue
 import sniperoute.version.decision.emptyCatalogue
+import sniperoute.version.message.CacheUse
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -293,22 +294,44 @@
         metrics.gauge("sniperoute_timeline_dropped", "Events that the time line had no room for.") { recorder.droppedCount.toDouble() }
     }
 
+    /** Serves a request, but has its use of shared cached blocks recorded before if that is new. */
     private fun receive(exchange: Exchange) {
-        val front = options.frontEnd
-        val id = front.identify(exchange.head, lastRequest.incrementAndGet()).let { if (runs.containsKey(it)) it.withSuffix() else it }
-        val incoming =
-            IncomingRequest(
-                exchange = exchange,
-                id = id,
-                view = session.view.get(),
-                owner = LedgerOwner(options.location.vm, incarnation, id.text),
-                dependencies = dependencies,
-                now = clock(),
-                delay = lateness.delayOf(exchange),
-                currentView = session.view::get,
-                reportCacheUse = { sessionRing.offer(CacheUseReported(it)) },
-            )
-        val run = front.createRun(incoming).flatMap { if (isTaken(it, incoming.now)) it.right() else drainingRefusal.left() }
+        val arrived = clock()
+        var unrecorded: CacheUse? = null
+        val incoming = incomingRequest(exchange, arrived) { unrecorded = it }
+        val run = options.frontEnd.createRun(incoming)
+        val use = unrecorded
+        if (use == null) return serve(incoming, run)
+        session.recordCacheUse(use) {
+            exchange.onConnectionThread {
+                val recorded = incomingRequest(exchange, arrived) {}
+                serve(recorded, options.frontEnd.createRun(recorded))
+            }
+        }
+    }
+
+    private fun incomingRequest(exchange: Exchange, arrived: Timestamp, reportCacheUse: (CacheUse) -> Unit): IncomingRequest {
+        val id = options.frontEnd
+            .identify(exchange.head, lastRequest.incrementAndGet())
+            .let { if (runs.containsKey(it)) it.withSuffix() else it }
+        return IncomingRequest(
+            exchange = exchange,
+            id = id,
+            view = session.view.get(),
+            owner = LedgerOwner(options.location.vm, incarnation, id.text),
+            dependencies = dependencies,
+            now = clock(),
+            arrived = arrived,
+            delay = lateness.delayOf(exchange),
+            currentView = session.view::get,
+            reportCacheUse = reportCacheUse,
+        )
+    }
+
+    private fun serve(incoming: IncomingRequest, created: Either<Refusal, RequestRun>) {
+        val exchange = incoming.exchange
+        val id = incoming.id
+        val run = created.flatMap { if (isTaken(it, incoming.now)) it.right() else drainingRefusal.left() }
         run.fold(
             ifLeft = { refusal ->
                 recordRefusal(id, refusal, incoming.delay)
--- a/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/SessionDuties.kt
@@ -3,6 +3,8 @@
  */
 package sniperoute.router
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import sniperoute.common.ListEndpoints
 import sniperoute.connection.peer.DialVm
 import sniperoute.connection.peer.PeerHandlers
@@ -37,6 +39,7 @@
 import sniperoute.router.message.*
 import sniperoute.version.codec.decodeSessionMessage
 import sniperoute.version.codec.encode
+import sniperoute.version.message.CacheUse
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -64,6 +67,7 @@
     private val links = ConcurrentHashMap<VmName, PeerLink>()
     private val openLedgerRequests = ConcurrentHashMap<LedgerRequestId, (LedgerReply) -> Unit>()
     private val lastLedgerRequestId = AtomicLong()
+    private val waitingForCacheUses = ConcurrentHashMap<CacheUse, PersistentList<() -> Unit>>()
 
     /** The links to control replicas that this router keeps open. */
     val reconnectingLinks = noReconnectingLinks(network.dial, handlers())
@@ -75,6 +79,14 @@
         if (!inbox.offer(LedgerRequestIssued(id, request, retryUntilAnswered))) openLedgerRequests.remove(id)?.invoke(LedgerUnavailable)
     }
 
+    /** Has [use] recorded; [onReleased] is called once, when that is done or waiting for it is no longer worthwhile. */
+    fun recordCacheUse(use: CacheUse, onReleased: () -> Unit) {
+        waitingForCacheUses.compute(use) { _, waiting -> (waiting ?: persistentListOf()).add(onReleased) }
+        if (!inbox.offer(CacheUseReported(use))) release(use)
+    }
+
+    private fun release(use: CacheUse) = waitingForCacheUses.remove(use).orEmpty().forEach { it() }
+
     /** Handlers of the links to the control replicas. */
     private fun handlers(): PeerHandlers = PeerHandlers(
         onOpened = { link ->
@@ -117,6 +129,7 @@
             is ServeView -> serve(effect.view)
             is DeliverTokens -> routing.put(effect.grant)
             is DeliverLedgerReply -> openLedgerRequests.remove(effect.id)?.invoke(effect.reply)
+            is ReleaseCacheUses -> effect.uses.forEach(::release)
             is ServeFleet -> routing.put(FleetChanged(effect.fleet))
             is DeliverWorkload -> routing.offer(FleetWorkloadReceived(effect.message))
             is DeliverRequestLimits -> routing.put(RequestLimitsReceived(effect.notice))
--- a/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/decision/ControlSessions.kt
@@ -64,7 +64,8 @@
  * A renewal without a reply within [replyTimeout] is sent again. The earlier one is among the [abandonedRenewals]: a reply that
  * took longer still renews the lease and brings a part of the [incoming] catalogue.
  *
- * The [cacheUses] are repeated with each renewal until the catalogue records them, since the leader may lose them.
+ * The [cacheUses], by when they were reported first, are repeated with each renewal until the catalogue records them, since the leader may
+ * lose them.
  */
 public data class ControlSession(
     public val replicas: PersistentList<VmName>,
@@ -87,7 +88,7 @@
     public val abandonedRenewals: PersistentList<PendingRenewal> = persistentListOf(),
     public val replyTimeout: Duration = REPLY_TIMEOUT,
     public val incoming: IncomingCatalogue? = null,
-    public val cacheUses: PersistentSet<CacheUse> = persistentSetOf(),
+    public val cacheUses: PersistentMap<CacheUse, Timestamp> = persistentMapOf(),
 )
 
 /**
@@ -142,7 +143,7 @@
     is LedgerRequestIssued -> onLedgerRequest(input, now)
     is EvidenceChanged -> copy(evidence = input.evidence).unchanged()
     is DoubtsChanged -> onDoubtsChanged(input, now)
-    is CacheUseReported -> onCacheUse(input.use, now).unchanged()
+    is CacheUseReported -> onCacheUse(input.use, now)
     is ListRead -> onListRead(input)
 }
 
@@ -157,7 +158,7 @@
         nextRenewal = now + RENEW_INTERVAL,
         nextCorrelation = nextCorrelation + 1,
     )
-    val uses = cacheUses.take(MAX_SENT_CACHE_USES).toPersistentList()
+    val uses = cacheUses.keys.take(MAX_SENT_CACHE_USES).toPersistentList()
     val request = RenewRequest(view.catalogue.revision, evidence, fleet.number, now.microseconds, doubts, cursor, uses)
     return next.unchanged().emit(SendSession(leader, nextCorrelation, request))
 }
@@ -179,15 +180,26 @@
 private const val MAX_CACHE_USES = 4_096
 private const val MAX_SENT_CACHE_USES = 1_024
 
-/** Collects the new uses of busy callers for one renewal. */
-private val CACHE_USE_DELAY = 200.milliseconds
-
-private fun ControlSession.onCacheUse(use: CacheUse, now: Timestamp): ControlSession =
-    if (use in cacheUses || cacheUses.size >= MAX_CACHE_USES || !view.catalogue.isUnrecorded(use)) {
-        this
-    } else {
-        copy(cacheUses = cacheUses.add(use), nextRenewal = minOf(nextRenewal, now + CACHE_USE_DELAY))
+/** Requests wait no longer than this for their use to be recorded: to compute blocks apart and once more takes about as long. */
+private val CACHE_USE_TIMEOUT = 150.milliseconds
+
+/** Reports a new use at once. Requests wait for its record, but only the first ones and only while there is a leader to ask. */
+private fun ControlSession.onCacheUse(use: CacheUse, now: Timestamp): SessionStep {
+    val reported = cacheUses[use]
+    return when {
+        !view.catalogue.isUnrecorded(use) -> unchanged().emit(ReleaseCacheUses(persistentListOf(use)))
+        reported != null && now - reported < CACHE_USE_TIMEOUT -> unchanged()
+        reported != null || cacheUses.size >= MAX_CACHE_USES -> unchanged().emit(ReleaseCacheUses(persistentListOf(use)))
+        else -> copy(cacheUses = cacheUses.put(use, now), nextRenewal = minOf(nextRenewal, now))
+            .renewIfDue(now)
+            .let { if (it.session.renewal == null) it.emit(ReleaseCacheUses(persistentListOf(use))) else it }
     }
+}
+
+private fun ControlSession.releaseOverdueCacheUses(now: Timestamp): SessionStep {
+    val overdue = cacheUses.filterValues { now - it >= CACHE_USE_TIMEOUT }.keys
+    return if (overdue.isEmpty()) unchanged() else unchanged().emit(ReleaseCacheUses(overdue.toPersistentList()))
+}
 
 private fun ControlSession.onTick(now: Timestamp): SessionStep {
     val hasTimedOut = renewal?.let { now - it.sent > replyTimeout } ?: false
@@ -198,6 +210,7 @@
         .then { it.checkLease(now) }
         .then { it.discoverReplicasIfDue(now) }
         .then { it.readListIfDue(now) }
+        .then { it.releaseOverdueCacheUses(now) }
 }
 
 private val DISCOVERY_INTERVAL = 1_000.milliseconds
@@ -312,9 +325,12 @@
     }
     val settled = reply.settledDoubts.toPersistentList()
     val told = if (settled.isEmpty()) renewed else renewed.emit(DeliverSettledDoubts(settled))
-    return told.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }
+    return told.then { it.withReplicas(reply.members) }.then { it.withRouterCount(reply.routers) }.then { it.renewForCacheUses(now) }
 }
 
+/** Uses that were reported while a renewal was under way go with the next one. */
+private fun ControlSession.renewForCacheUses(now: Timestamp): SessionStep = if (cacheUses.isEmpty()) unchanged() else renewIfDue(now)
+
 /** The replica that replies leads. The timeout follows the time that its replies take, so that a slow link isn't filled with repeats. */
 private fun ControlSession.withReplyTo(answered: PendingRenewal, replica: VmName, now: Timestamp): ControlSession = copy(
     leader = if (replica in linked) replica else leader,
@@ -333,13 +349,16 @@
     val newView = ServingView(view.catalogue.advance(reply), maxOf(view.leaseEnd, leaseEnd))
     val nextDue = if (isChanged) answered.sent else nextRenewal
     val fleetUpdate = if (reply.fleet != 0L && reply.fleet == fleet.number) now else lastFleetUpdate
+    val settled = if (isChanged) cacheUses.keys.filterNot(newView.catalogue::isUnrecorded) else emptyList()
     val served = copy(
         view = newView,
         nextRenewal = nextDue,
         isLeaseLossReported = false,
         lastFleetUpdate = fleetUpdate,
-        cacheUses = if (isChanged) cacheUses.removeAll { !newView.catalogue.isUnrecorded(it) } else cacheUses,
-    ).unchanged().emit(ServeView(newView))
+        cacheUses = settled.fold(cacheUses) { uses, use -> uses.remove(use) },
+    ).unchanged()
+        .emit(ServeView(newView))
+        .let { if (settled.isEmpty()) it else it.emit(ReleaseCacheUses(settled.toPersistentList())) }
     return if (isChanged) served.emit(RevisionInForce(reply.revision, reply.configuration)) else served
 }
 
--- a/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
+++ b/programs/router/src/main/kotlin/sniperoute/router/message/SessionInputs.kt
@@ -68,7 +68,7 @@
 /** The routing duty has these [doubts] now, and no others. */
 public data class DoubtsChanged(public val doubts: ImmutableList<EndpointDoubt>) : SessionInput
 
-/** A request was admitted whose [use] of shared cached blocks isn't recorded in the catalogue. */
+/** A request waits for its [use] of shared cached blocks to be recorded in the catalogue. */
 public data class CacheUseReported(public val use: CacheUse) : SessionInput
 
 /** This router read the platform's list; `null` when reading it failed. */
@@ -101,6 +101,9 @@
 /** Tells the routing duty which [doubts] the leader settled. */
 public data class DeliverSettledDoubts(public val doubts: PersistentList<EndpointDoubt>) : SessionEffect
 
+/** Lets the requests go on that wait for the record of [uses]: these are recorded, no longer wanted, or take too long. */
+public data class ReleaseCacheUses(public val uses: PersistentList<CacheUse>) : SessionEffect
+
 /** Routes by the listed endpoints in [fleet] from now on. */
 public data class ServeFleet(public val fleet: FleetView) : SessionEffect
 
--- a/programs/src/test/kotlin/sniperoute/programs/CacheSharingTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/CacheSharingTest.kt
@@ -151,15 +151,16 @@
     }
 
     @Test
-    fun `uses of an isolated or unknown workspace and of impossible groups are not recorded, nor do routers hear of recorded ones`() {
+    fun `uses of an isolated or unknown workspace and of impossible groups are not recorded, and only routers that wait hear of others`() {
         driver.configure(shared + (names[1] to true))
         val uses = listOf(CacheUse(names[1], groups[0]), CacheUse(WorkspaceName("x"), groups[0]), CacheUse(names[0], CacheGroup(256)))
         driver.session(RenewRequest(0, persistentListOf(), cacheUses = uses.toPersistentList()))
         driver.advance(1.seconds)
         expectThat(driver.newestCatalogue().cacheSharers).isEmpty()
-        driver.session(RenewRequest(0, persistentListOf(), cacheUses = persistentListOf(CacheUse(names[0], groups[0]))))
-        driver.input(null)
-        expectThat(driver.commit().filterIsInstance<NotifyRouters>()).isEmpty()
+        driver.session(RenewRequest(0, persistentListOf()))
+        driver.session(RenewRequest(0, persistentListOf(), cacheUses = persistentListOf(CacheUse(names[0], groups[0]))), link = 7)
+        val notices = driver.commit().filterIsInstance<NotifyRouters>()
+        expectThat(notices.map { it.links.toList() }).isEqualTo(listOf(listOf(LinkId(7))))
         expectThat(
             driver
                 .newestCatalogue()
--- a/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlDutyTest.kt
@@ -84,8 +84,8 @@
         return commit().filterIsInstance<SendOperatorReply>().first().result
     }
 
-    fun session(message: SessionMessage, vm: String = "r1"): List<ControlEffect> =
-        input(RouterMessageReceived(RouterName(VmName(vm), Incarnation(1)), ReplyAddress(LinkId(1), 5), message))
+    fun session(message: SessionMessage, vm: String = "r1", link: Long = 1): List<ControlEffect> =
+        input(RouterMessageReceived(RouterName(VmName(vm), Incarnation(1)), ReplyAddress(LinkId(link), 5), message))
 
     fun ledger(request: LedgerRequest): List<ControlEffect> = input(LedgerRequestReceived(ReplyAddress(LinkId(1), 7), request))
 
--- a/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
+++ b/programs/src/test/kotlin/sniperoute/programs/ControlSessionTest.kt
@@ -60,6 +60,8 @@
     )
 }
 
+private fun List<SessionEffect>.released(): List<CacheUse> = filterIsInstance<ReleaseCacheUses>().flatMap { it.uses }
+
 private fun List<SessionEffect>.renewal(): SendSession = filterIsInstance<SendSession>().last { it.message is RenewRequest }
 
 class ControlSessionTest {
@@ -127,16 +129,19 @@
     }
 
     @Test
-    fun `uses of the cache are sent soon and with each renewal until they are recorded, and never more than a message carries`() {
+    fun `uses of the cache are sent at once and with each renewal until they are recorded, and never more than a message carries`() {
         val driver = SessionDriver()
         val workspaces = listOf("t1", "t2").map { Workspace(WorkspaceName(it), 0, 0, isIsolated = it == "t2") }
         val sent = driver.link().renewal()
         driver.renew(sent, changes = workspaces.map { ItemChange(1, WorkspaceItem(it).name, WorkspaceItem(it)) })
         driver.renew(driver.advance(100).renewal())
         val uses = listOf("t1", "t2", "t3").map { CacheUse(WorkspaceName(it), CacheGroup(7)) }
-        uses.forEach { driver.input(CacheUseReported(it)) }
-        val renewals = listOf(250, 600).map { time -> driver.advance(time).renewal().also { driver.renew(it) } }
+        val reported = uses.flatMap { driver.input(CacheUseReported(it)) }
+        driver.renew(reported.renewal())
+        val repeated = driver.advance(600).renewal().also { driver.renew(it) }
+        val renewals = listOf(reported.renewal(), repeated)
         expectThat(renewals.map { (it.message as RenewRequest).cacheUses.toList() }).isEqualTo(List(2) { uses.take(1) })
+        expectThat(reported.released()).describedAs("those that can't be recorded").isEqualTo(uses.drop(1))
         val item = CacheSharerItem(uses[0].workspace, persistentListOf(uses[0].group))
         driver.renew(driver.advance(600).renewal(), revision = 2, changes = listOf(ItemChange(2, item.name, item)))
         expectThat((driver.advance(600).renewal().message as RenewRequest).cacheUses).isEmpty()
@@ -144,6 +149,24 @@
         expectThat((driver.advance(600).renewal().message as RenewRequest).cacheUses.size).isEqualTo(1_024)
     }
 
+    @Test
+    fun `requests wait for the record of their use for a while at most, and not at all without a leader or after an earlier wait`() {
+        val driver = SessionDriver()
+        val use = CacheUse(WorkspaceName("t1"), CacheGroup(7))
+        val workspace = WorkspaceItem(Workspace(use.workspace, 0, 0))
+        val sent = driver.link().renewal()
+        driver.renew(sent, changes = listOf(ItemChange(1, workspace.name, workspace)))
+        driver.renew(driver.advance(100).renewal())
+        expectThat(driver.input(CacheUseReported(use)).released()).isEmpty()
+        expectThat(driver.input(CacheUseReported(use)).released()).describedAs("a second request").isEmpty()
+        expectThat(driver.advance(100).released()).isEmpty()
+        expectThat(driver.advance(50).released()).describedAs("overdue").isEqualTo(listOf(use))
+        expectThat(driver.input(CacheUseReported(use)).released()).describedAs("after the wait").isEqualTo(listOf(use))
+        driver.replicas.forEach { driver.input(LinkClosed(it)) }
+        val other = use.copy(group = CacheGroup(8))
+        expectThat(driver.input(CacheUseReported(other)).released()).describedAs("without a leader").isEqualTo(listOf(other))
+    }
+
     /** Plays [time] with a leader whose replies take [replyTime]; [onStep] gets the effects of each step. */
     private fun SessionDriver.playSlowLeader(replyTime: Duration, time: Duration, onStep: (List<SessionEffect>) -> Unit) {
         val end = now + time
