--- a/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
@@ -29,7 +29,10 @@
 /** Bounds the history, whatever workspaces come and go. Beyond it, the undeclared workspaces recorded longest ago are separated. */
 private const val MAX_UNDECLARED_SHARERS = 1_000
 
+/** Bounds what a leader collects; routers repeat what is left out. */
 private const val MAX_CACHE_USES = 16_384
+
+/** The uses of a busy start share entries of the log. */
 private val CACHE_USE_INTERVAL: Duration = 30.milliseconds
 
 private val generationsName = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
@@ -90,10 +93,7 @@
     return updateLeader { copy(cacheUses = CollectedCacheUses(collected.uses.addAll(added), collected.links.add(link))) }
 }
 
-/**
- * Proposes one command for all uses that were collected since the last one, unless that one is still pending. A router repeats the uses
- * that get lost with a proposal.
- */
+/** Proposes one command for all uses that were collected since the last one. A router repeats the uses that get lost with a proposal. */
 internal fun ControlDutyState.proposeCacheUses(now: Timestamp): ControlStep {
     val leader = leaderState ?: return unchanged()
     if (leader.cacheUses.uses.isEmpty() || now < leader.nextCacheUseProposal) return unchanged()
