--- a/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/CacheSharing.kt
@@ -23,6 +23,7 @@
 import sniperoute.version.message.Workspace
 import sniperoute.version.message.WorkspaceItem
 import sniperoute.version.message.WorkspaceName
+import sniperoute.version.message.cacheGenerationsName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -35,8 +36,6 @@
 /** The uses of a busy start share entries of the log. */
 private val CACHE_USE_INTERVAL: Duration = 30.milliseconds
 
-private val generationsName = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
-
 /**
  * What a configuration changes in the history. The [separated] workspaces are no longer recorded in any group, and the [generations] of the
  * groups in which they were are new; `null` if no generation changes.
@@ -65,7 +64,7 @@
 }
 
 private fun ControlState.cacheGenerations(): Map<CacheGroup, Long> =
-    (published.itemOrNull(generationsName) as CacheGenerationsItem?)?.generations.orEmpty()
+    (published.itemOrNull(cacheGenerationsName) as CacheGenerationsItem?)?.generations.orEmpty()
 
 /** Leaves out the uses of workspaces that became isolated since: these have made no shared blocks since then. */
 internal fun ControlState.applyCacheUses(command: RecordCacheUses): AppliedCommand {
--- a/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
+++ b/version/src/main/kotlin/sniperoute/version/message/CatalogueItems.kt
@@ -109,10 +109,13 @@
     override val name: ItemName get() = ItemName(ItemKind.CACHE_SHARER, workspace.text)
 }
 
+/** The name of the only item with the generations of cache groups. */
+public val cacheGenerationsName: ItemName = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
+
 /** The generation of each cache group that is not in its first one. */
 @Serializable
 public data class CacheGenerationsItem(public val generations: SerializableMap<CacheGroup, Long>) : CatalogueItem {
-    override val name: ItemName get() = ItemName(ItemKind.CACHE_GENERATIONS, "groups")
+    override val name: ItemName get() = cacheGenerationsName
 }
 
 /** The change of an item in [revision]; when [item] is `null`, the item was removed. */
