Keep room for callers while endpoints change their weights

Cause: a leader took half of a service's endpoints away whatever their load, and did not count those that still carried out commands of an earlier leader. The slower pace that was built for this took late first tokens as its measure, which routers report only for services that are being moved; so it was never in force.

Change: the leader keeps four slots for each request that routers report in flight, and changes only the endpoints beyond that, or as many as are due by the time that the settings allow. Endpoints that are busy with an earlier leader's command count. In calm half of them still change at once.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/ControlDutyStates.kt
@@ -142,8 +142,8 @@
 /**
  * The settings for listed services. With [readsPlatformList] a leader reads the platform's list and reconciles the services in it. A new
  * leader sends their endpoints no load command for [loadCommandGracePeriod], after which commands of an earlier leader can no longer
- * take effect. Endpoints must change within [weightsLimit] of the naming of newer weights; when it is `null`, a strained service changes
- * its endpoints as fast as any other. Cold endpoints get requests within the [warmUpTolerance].
+ * take effect. Endpoints must change within [weightsLimit] of the naming of newer weights; when it is `null`, services change
+ * theirs whatever their load. Cold endpoints get requests within the [warmUpTolerance].
  */
 public data class FleetSettings(
     public val readsPlatformList: Boolean = false,
--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -14,6 +14,7 @@
 import sniperoute.process.timeline.message.EventKind
 import sniperoute.process.timeline.message.EventSubject
 import sniperoute.version.decision.*
+import sniperoute.version.decision.EndpointLoad
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.MaxOpenCommands
 import sniperoute.version.decision.fewestOpenCommands
@@ -22,8 +23,10 @@
 import sniperoute.version.decision.maxOpenCommands
 import sniperoute.version.decision.noEvidence
 import sniperoute.version.decision.noLateness
+import sniperoute.version.decision.openCommandsWithRoom
 import sniperoute.version.decision.outdatedSinceOrNull
 import sniperoute.version.decision.record
+import sniperoute.version.decision.runningWhere
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
 import sniperoute.version.message.STORE_UNREACHABLE
@@ -119,13 +122,19 @@
 
 private fun ControlDutyState.maxOpenCommands(leader: LeaderState, now: Timestamp): MaxOpenCommands = { service, size, outdated ->
     val limit = settings.weightsLimit
-    if (limit == null || service !in leader.strained) {
+    if (limit == null || outdated.isEmpty()) {
         maxOpenCommands(size)
     } else {
-        fewestOpenCommands(size, outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }, limit, now)
+        val members = leader.loads.endpoints.filterValues { it.listed.service == service }
+        val due = fewestOpenCommands(size, outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }, limit, now)
+        val away = if (service in leader.strained) due else maxOf(due, leader.openCommandsWithRoom(members))
+        (away - members.values.count { it.isBusy && it.openCommand == null }).coerceAtLeast(0)
     }
 }
 
+private fun LeaderState.openCommandsWithRoom(members: Map<EndpointName, EndpointLoad>): Int =
+    openCommandsWithRoom(members.size, members.values.sumOf { it.listed.endpoint.slots }, workloads.runningWhere { it in members })
+
 /** Counts the first tokens that a router reports [after] those that it reported [before], by the objectives of their routes. */
 internal fun ControlDutyState.recordLateness(before: EvidenceTable?, after: EvidenceTable, now: Timestamp): ControlDutyState {
     if (before == null || settings.weightsLimit == null) return this
@@ -165,8 +174,7 @@
         val name = load.listed.endpoint.name
         // The time left changes with each list and says no more than whether the endpoint is cold.
         val listed = load.listed.copy(coldMilliseconds = 0)
-        val isChanging = load.openCommand != null || load.isBusy
-        all.put(name, FleetEndpoint(listed, load.weights, isChanging, isWarming = name in leader.warming.byEndpoint))
+        all.put(name, FleetEndpoint(listed, load.weights, load.isChanging, isWarming = name in leader.warming.byEndpoint))
     }
     val after = before.next(endpoints, leader.storeIncarnations)
     if (after === before) return unchanged()
--- a/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
@@ -2,7 +2,7 @@
  * How many endpoints of a service change their weights at once. An endpoint that changes serves nothing for seconds. The load that this
  * decides about is new weights that follow each other while requests wait: then each endpoint that is away makes more of them late, and
  * costs more than answers by older weights do. So endpoints change only as fast as their deadlines ask for while the service is
- * strained, and as fast as its other endpoints allow otherwise.
+ * strained or the endpoints that stay would have no room for its requests, and as fast as these allow otherwise.
  */
 package sniperoute.version.decision
 
@@ -43,6 +43,22 @@
     return needed.coerceIn(1, maxOpenCommands(size))
 }
 
+/**
+ * The endpoints that stay must have so many slots for each request in flight. A change that has begun goes on for seconds, in which the
+ * load may double, and an engine slows down when more than half of its slots are in use.
+ */
+private const val SLOTS_PER_REQUEST = 4L
+
+/**
+ * Returns the most open commands that leave room for the load of a service: it has [size] endpoints with [slots] slots in all, and
+ * [running] requests in flight.
+ */
+public fun openCommandsWithRoom(size: Int, slots: Int, running: Int): Int {
+    if (slots <= 0) return 0
+    val needed = ceil(running * SLOTS_PER_REQUEST * size / slots.toDouble()).toInt()
+    return (size - needed).coerceIn(0, maxOpenCommands(size))
+}
+
 /** Returns since when the endpoint's weights are outdated, by the [targets] of each model that this process knows. */
 public fun EndpointLoad.outdatedSinceOrNull(targets: Map<ModelName, PersistentList<TargetWeights>>): Timestamp? =
     weights.entries.mapNotNull { (model, number) -> targets[model]?.outdatedSinceOrNull(number) }.minOrNull()
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -62,7 +62,10 @@
     public val running: Int = 0,
     public val readAt: Timestamp = Timestamp.EARLIEST,
     public val openCommand: OpenLoadCommand? = null,
-)
+) {
+    /** Whether the endpoint gets no requests, since it is about to change its weights or does so, by a command of any leader. */
+    public val isChanging: Boolean get() = openCommand != null || isBusy
+}
 
 /** All listed endpoints; no load command is planned before [loadCommandsAllowedFrom]. */
 public data class WeightLoads(
