Change the weights of the endpoints with the fewest requests first

What callers saw: requests that waited at an endpoint were rejected as not run when it got a load command, up to 97 at one endpoint in half a second, and drew on the retry budget of their service.

Cause: the leader sorted endpoints by the number of requests that they reported when they were last read, which is when they had changed their weights before: none. So the order was that of their names.

Change: the order follows the requests in flight that routers report, which the leader sums anyway.

--- a/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
+++ b/programs/control/src/main/kotlin/sniperoute/control/decision/FleetReconciliation.kt
@@ -17,6 +17,7 @@
 import sniperoute.version.decision.EndpointLoad
 import sniperoute.version.decision.EvidenceTable
 import sniperoute.version.decision.MaxOpenCommands
+import sniperoute.version.decision.RunningRequests
 import sniperoute.version.decision.fewestOpenCommands
 import sniperoute.version.decision.isStrained
 import sniperoute.version.decision.lateSince
@@ -26,7 +27,7 @@
 import sniperoute.version.decision.openCommandsWithRoom
 import sniperoute.version.decision.outdatedSinceOrNull
 import sniperoute.version.decision.record
-import sniperoute.version.decision.runningWhere
+import sniperoute.version.decision.runningByEndpoint
 import sniperoute.version.message.EndpointName
 import sniperoute.version.message.FleetEndpoint
 import sniperoute.version.message.STORE_UNREACHABLE
@@ -110,8 +111,10 @@
     val leader = leaderState ?: return unchanged()
     val updated = update(leader.loads)
     val mayCommand = isLeading(status, now) && status.maySendLoadCommand(leader.term, now)
+    val running: RunningRequests = lazy(LazyThreadSafetyMode.NONE) { leader.workloads.runningByEndpoint() }::value
     val step = if (mayCommand) {
-        updated.reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, maxOpenCommands(leader, now))
+        val maxOpen = maxOpenCommands(leader, now, running)
+        updated.reconcile(replicatedState.targetWeights(), replicatedState::modelsOf, now, maxOpen, running)
     } else {
         LoadStep(updated, emptyList())
     }
@@ -120,20 +123,24 @@
     return if (step.loads === leader.loads) emitted else emitted.then { it.publishFleet() }
 }
 
-private fun ControlDutyState.maxOpenCommands(leader: LeaderState, now: Timestamp): MaxOpenCommands = { service, size, outdated ->
+private fun ControlDutyState.maxOpenCommands(
+    leader: LeaderState,
+    now: Timestamp,
+    running: RunningRequests,
+): MaxOpenCommands = { service, members, outdated ->
     val limit = settings.weightsLimit
-    if (limit == null || outdated.isEmpty()) {
-        maxOpenCommands(size)
+    if (limit == null) {
+        maxOpenCommands(members.size)
     } else {
-        val members = leader.loads.endpoints.filterValues { it.listed.service == service }
-        val due = fewestOpenCommands(size, outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }, limit, now)
-        val away = if (service in leader.strained) due else maxOf(due, leader.openCommandsWithRoom(members))
-        (away - members.values.count { it.isBusy && it.openCommand == null }).coerceAtLeast(0)
+        val since = outdated.map { it.outdatedSinceOrNull(targetWeights) ?: Timestamp.EARLIEST }
+        val due = fewestOpenCommands(members.size, since, limit, now)
+        val open = if (service in leader.strained) due else maxOf(due, members.openCommandsWithRoom(running()))
+        (open - members.count { it.isBusy && it.openCommand == null }).coerceAtLeast(0)
     }
 }
 
-private fun LeaderState.openCommandsWithRoom(members: Map<EndpointName, EndpointLoad>): Int =
-    openCommandsWithRoom(members.size, members.values.sumOf { it.listed.endpoint.slots }, workloads.runningWhere { it in members })
+private fun List<EndpointLoad>.openCommandsWithRoom(running: Map<EndpointName, Int>): Int =
+    openCommandsWithRoom(size, sumOf { it.listed.endpoint.slots }, sumOf { running[it.listed.endpoint.name] ?: 0 })
 
 /** Counts the first tokens that a router reports [after] those that it reported [before], by the objectives of their routes. */
 internal fun ControlDutyState.recordLateness(before: EvidenceTable?, after: EvidenceTable, now: Timestamp): ControlDutyState {
--- a/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/FleetWorkloads.kt
@@ -80,9 +80,12 @@
     return copy(byRouter = removed.fold(byRouter) { all, router -> all.remove(router) }, changed = changed.addAll(endpoints))
 }
 
-/** Returns the requests that all routers have in flight at the endpoints for which [isCounted] is true. */
-public fun FleetWorkloads.runningWhere(isCounted: (EndpointName) -> Boolean): Int =
-    byRouter.values.sumOf { workloads -> workloads.values.sumOf { if (isCounted(it.endpoint)) it.running else 0 } }
+/** Returns the requests that all routers have in flight at each endpoint that has any. */
+public fun FleetWorkloads.runningByEndpoint(): Map<EndpointName, Int> =
+    byRouter.values
+        .flatMap { it.values }
+        .groupingBy { it.endpoint }
+        .fold(0) { sum, workload -> sum + workload.running }
 
 /** The [message] to send to all routers, or `null` when none is due, and the state after it was sent. */
 public data class FleetWorkloadStep(public val workloads: FleetWorkloads, public val message: FleetWorkload?)
--- a/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/LoadPacing.kt
@@ -16,8 +16,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Returns how many of the [size] endpoints of [service] may have an open load command while those in [outdated] have outdated weights. */
-public typealias MaxOpenCommands = (service: ServiceName, size: Int, outdated: List<EndpointLoad>) -> Int
+/** Returns how many of the [members] of [service] may have an open load command while those in [outdated] have outdated weights. */
+public typealias MaxOpenCommands = (service: ServiceName, members: List<EndpointLoad>, outdated: List<EndpointLoad>) -> Int
 
 /**
  * One in [OPEN_COMMAND_DIVISOR] endpoints of a service may have an open command, but at least [MIN_OPEN_COMMANDS] and never all of
--- a/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
+++ b/version/src/main/kotlin/sniperoute/version/decision/WeightLoads.kt
@@ -129,6 +129,9 @@
     public val count: Long,
 ) : LoadEffect
 
+/** Returns the requests that routers have in flight at each endpoint where they have any. */
+public typealias RunningRequests = () -> Map<EndpointName, Int>
+
 /** A state and the calls to endpoints that follow from it. */
 public data class LoadStep(public val loads: WeightLoads, public val effects: List<LoadEffect>)
 
@@ -200,7 +203,8 @@
     targetWeights: Map<ModelName, ModelWeights>,
     modelsOf: (ServiceName) -> List<ModelName>,
     now: Timestamp,
-    maxOpen: MaxOpenCommands = { _, size, _ -> maxOpenCommands(size) },
+    maxOpen: MaxOpenCommands = { _, members, _ -> maxOpenCommands(members.size) },
+    running: RunningRequests = { emptyMap() },
 ): LoadStep =
     endpoints.values
         .groupBy { it.listed.service }
@@ -208,17 +212,19 @@
         .fold(LoadStep(this, emptyList())) { step, (service, members) ->
             val targets = modelsOf(service).mapNotNull { targetWeights[it] }
             val isSettled = targets.isEmpty() && members.none { it.isBusy || it.openCommand != null }
-            if (isSettled) step else step.reconcileService(members, targets, now) { outdated -> maxOpen(service, members.size, outdated) }
+            val maxOpenOfService = { outdated: List<EndpointLoad> -> maxOpen(service, members, outdated) }
+            if (isSettled) step else step.reconcileService(members, targets, now, running, maxOpenOfService)
         }
 
 private fun LoadStep.reconcileService(
     members: List<EndpointLoad>,
     targets: List<ModelWeights>,
     now: Timestamp,
+    running: RunningRequests,
     maxOpen: (outdated: List<EndpointLoad>) -> Int,
 ): LoadStep {
     val names = members.map { it.listed.endpoint.name }
-    val planned = loads.plan(names, targets, now, maxOpen)
+    val planned = loads.plan(names, targets, now, running, maxOpen)
     return names.sorted().fold(LoadStep(planned, effects)) { step, name -> step.reconcileEndpoint(name, targets, now) }
 }
 
@@ -227,17 +233,20 @@
     names: List<EndpointName>,
     targets: List<ModelWeights>,
     now: Timestamp,
+    running: RunningRequests,
     maxOpen: (outdated: List<EndpointLoad>) -> Int,
 ): WeightLoads {
     if (now < loadCommandsAllowedFrom) return this
     val members = names.mapNotNull { endpoints[it] }
-    val available = maxOpen(members.filter { it.outdatedOrNull(targets) != null }) - members.count { it.openCommand != null }
-    return members
-        .filter {
-            it.openCommand == null && it.commandCount != null && !it.isBusy && !it.listed.isLeaving &&
-                it.outdatedOrNull(targets) != null
-        }.sortedWith(compareBy({ it.differenceFrom(targets) }, { it.running }, { it.listed.endpoint.name }))
-        .take(available.coerceAtLeast(0))
+    val outdated = members.filter { it.outdatedOrNull(targets) != null }
+    if (outdated.isEmpty()) return this
+    val available = maxOpen(outdated) - members.count { it.openCommand != null }
+    val runningNow = running()
+    return outdated
+        .filter { it.openCommand == null && it.commandCount != null && !it.isBusy && !it.listed.isLeaving }
+        .sortedWith(
+            compareBy({ it.differenceFrom(targets) }, { runningNow[it.listed.endpoint.name] ?: it.running }, { it.listed.endpoint.name }),
+        ).take(available.coerceAtLeast(0))
         .fold(this) { all, load ->
             val target = checkNotNull(load.outdatedOrNull(targets)) { "only endpoints with outdated weights are planned" }
             all.change(load.listed.endpoint.name) { it.copy(openCommand = OpenLoadCommand(target.model, target.number, now)) }
@@ -246,7 +255,8 @@
 
 /**
  * Returns the lowest difference between the endpoint's weights and the targets. The endpoints that are furthest behind load first,
- * so that none is left behind when new weights follow each other quickly.
+ * so that none is left behind when new weights follow each other quickly. Among them, those with the fewest requests in flight do, since
+ * an endpoint rejects those that wait there when it receives a command.
  */
 private fun EndpointLoad.differenceFrom(targets: List<ModelWeights>): Long = targets.minOf { (weights[it.model] ?: 0) - it.number }
 
